Offer a worker's free room to one entry at a time and refuse early under overload

Half of the most urgent jobs were late while less urgent ones were in time.

Change: - A sidecar returns a task without room at once, and offers free room to the entry with the most urgent waiting task, in turn among equals. - A task goes only to a worker on which its job can still be in time; fast workers fill up last with tasks that slow ones can do. - Late jobs without a start leave 15% of the room to others; under lasting overload they are refused at once. Late jobs with a start are finished. - A refusal waits for the sidecars' word on orders that are on their way.

--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -84,6 +84,7 @@
 	if !o.GetStoredWithheld() {
 		e.storedFrom = e.grantedFrom
 	}
+	x.noteDemand(from, e, o)
 	for _, s := range o.GetAdopts() {
 		x.adopt(from, s)
 	}
@@ -210,7 +211,8 @@
 			}
 			continue
 		}
-		urgent := len(e.events) > 0 || (len(e.fenced) > 0 || e.inventory) && x.listed
+		offered := x.offer.entry == id && x.offer.at == 0
+		urgent := offered || len(e.events) > 0 || (len(e.fenced) > 0 || e.inventory) && x.listed
 		load := e.sentLoad != x.loadSerial && now-e.sentAt >= loadInterval
 		if !urgent && !load && now-e.sentAt < reportInterval {
 			continue
@@ -222,7 +224,11 @@
 func (x *Executor) reportFor(now clock.Millis, id ownership.Incarnation, e *entry) *wire.TaskReport {
 	report := &wire.TaskReport{
 		SentAt: int64(now), Events: e.events, Load: x.load(), Deposed: e.deposed,
-		Received: e.received, Unclaimed: x.unclaimed(now, id),
+		Received: e.received, Unclaimed: x.unclaimed(now, id), Offer: x.offer.entry == id,
+		Held: x.offer.entry != "" && x.offer.entry != id,
+	}
+	if report.Offer && x.offer.at == 0 {
+		x.offer.at = now
 	}
 	if x.listed {
 		report.Fenced = e.fenced
@@ -287,17 +293,9 @@
 
 func (x *Executor) load() *wire.WorkerLoad {
 	free := x.free()
-	load := &wire.WorkerLoad{
+	return &wire.WorkerLoad{
 		Cpu: x.worker.Capacity.CPU, MemoryMb: x.worker.Capacity.MemoryMB, Accelerators: x.worker.Capacity.Accelerators,
 		FreeCpu: free.CPU, FreeMemoryMb: free.MemoryMB, FreeAccelerators: free.Accelerators,
 		Ready: x.ready(), Service: x.worker.Service, Labels: x.worker.Labels,
 	}
-	for _, r := range x.runs {
-		if r.phase == queued {
-			load.Queued++
-			load.FreeCpu -= r.need.CPU
-			load.FreeMemoryMb -= r.need.MemoryMB
-		}
-	}
-	return load
 }
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -43,9 +43,6 @@
 	// loadInterval is the shortest time between two reports that only tell of a
 	// changed load.
 	loadInterval = 25 * clock.Millis(1)
-	// queueTime is how long an ordered task waits here for room before it goes
-	// back to its entry, which may know of room elsewhere.
-	queueTime = 150 * clock.Millis(1)
 	// minStall is how long a run may make no progress before it is stopped: two
 	// listings of a worker on which nothing ends. A long run gets stallShare of
 	// its declared time, in which it makes some percent of progress also on a
@@ -64,7 +61,7 @@
 type phase int
 
 const (
-	// queued means that the task waits for room.
+	// queued means that the task starts or goes back at the next tick.
 	queued phase = iota
 	// ordered means that a start was sent to the worker and not answered.
 	ordered
@@ -145,6 +142,7 @@
 	sentAt    clock.Millis
 	// received is the sequence of the last orders of the session.
 	received int64
+	demand
 	// sentLoad is the version of the load that was last sent.
 	sentLoad int64
 }
@@ -172,6 +170,7 @@
 	used       batch.Resources
 	unsized    int
 	loadSerial int64
+	offer      offer
 	// lapseUntil is when the worker's lease has certainly lapsed, while it is
 	// left to lapse; 0 otherwise.
 	lapseUntil clock.Millis
@@ -205,9 +204,10 @@
 // Tick returns what is to be done now.
 func (x *Executor) Tick(now clock.Millis) []Command {
 	x.checkGrants(now)
-	x.checkQueue(now)
 	x.checkProgress(now)
 	x.startQueued(now)
+	x.returnQueued()
+	x.offerRoom(now)
 	x.advanceCursor()
 	x.report(now)
 	if now >= x.sweepAt {
@@ -268,7 +268,7 @@
 	waiting := x.waiting()
 	for _, r := range waiting {
 		if !x.free().Holds(r.need) {
-			return
+			continue
 		}
 		if r.maxPerWorker > 0 && x.active(r.id) >= r.maxPerWorker {
 			continue
@@ -310,13 +310,12 @@
 	return n
 }
 
-// checkQueue returns tasks that have waited too long or cannot start here.
-func (x *Executor) checkQueue(now clock.Millis) {
+// returnQueued returns the tasks that did not start to their entries, which may
+// know of room elsewhere. A task that waited here would be late while another
+// worker has room.
+func (x *Executor) returnQueued() {
 	for _, r := range x.runs {
-		if r.phase != queued {
-			continue
-		}
-		if x.worker.Draining || x.leaving || x.lapseUntil != 0 || now-r.orderedAt >= queueTime {
+		if r.phase == queued {
 			x.notStarted(r)
 		}
 	}
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -31,12 +31,17 @@
 		return "no worker fits", storeRetry
 	}
 	wait := s.expectedWait(b, capacity)
-	longest := b.Steps[0].Estimated
-	for _, step := range b.Steps {
-		longest = max(longest, step.Estimated)
+	longest := 0.0
+	for i := range b.Steps {
+		longest = max(longest, s.quickestRun(b.Service, &b.Steps[i]))
+	}
+	reach := lateFactor * b.Objective
+	if s.pool(b.Service).overloaded(now) {
+		// Late jobs do not start any more.
+		reach = b.Objective
 	}
-	if excess := wait + longest - lateFactor*b.Objective; excess > 0 && wait > 0 {
-		return "overload", max(minRetry, excess)
+	if wait > 0 && wait+tripTime+clock.Millis(longest) > reach {
+		return "overload", max(minRetry, wait)
 	}
 	return "", 0
 }
@@ -92,3 +97,13 @@
 	}
 	return work
 }
+
+// backlog is when a caller whose job is given up may come again: once the work
+// that goes before it has started.
+func (s *Scheduler) backlog(b batch.Job) clock.Millis {
+	capacity, fits := s.serving(b)
+	if !fits {
+		return storeRetry
+	}
+	return max(minRetry, s.expectedWait(b, capacity))
+}
--- a/internal/scheduler/besteffort.go
+++ b/internal/scheduler/besteffort.go
@@ -64,7 +64,7 @@
 	}
 	j.submitters = without(j.submitters, r)
 	if len(j.submitters) == 0 && !j.cancelled {
-		s.abandon(now, j, "caller left")
+		s.abandon(now, j, "caller left", 0)
 	}
 }
 
@@ -78,25 +78,45 @@
 	return out
 }
 
-// abandon gives up a best-effort job: its callers get their answer at once, and
-// what runs is stopped.
-func (s *Scheduler) abandon(now clock.Millis, j *job, reason string) {
+// abandon gives up a best-effort job: its callers get their answer and what
+// runs is stopped. Where orders are on their way, the sidecars first tell
+// whether they started anything.
+func (s *Scheduler) abandon(now clock.Millis, j *job, reason string, retryAfter clock.Millis) {
+	s.out = append(s.out, Decision{What: "job given up", Job: j.ID, Reason: reason, Value: int64(now - j.acceptedAt)})
+	s.counters.Refused++
+	j.refused = j.submitters
+	j.refuseBy, j.retryAfter = now+confirmTime, retryAfter
+	if j.ran() || !j.hasBound() {
+		s.answerRefused(j)
+	}
+	s.close(now, j)
+}
+
+// confirmTime bounds the wait for sidecars to tell whether they started a run
+// of a job that is given up: some round trips between failure domains.
+const confirmTime = 30 * clock.Millis(1)
+
+// answerRefused answers the callers of a job that is given up. A job without a
+// start is not stored and never runs; of another one nothing can be said.
+func (s *Scheduler) answerRefused(j *job) {
 	result := NotStored
 	if j.mayHaveRun() {
 		result = Unknown
 	}
-	for _, r := range j.submitters {
-		s.out = append(s.out, Reply{Request: r, Result: result, RetryAfter: minRetry})
+	for _, r := range j.refused {
+		s.out = append(s.out, Reply{Request: r, Result: result, RetryAfter: j.retryAfter})
 	}
-	s.out = append(s.out, Decision{What: "job given up", Job: j.ID, Reason: reason, Value: int64(now - j.acceptedAt)})
-	s.counters.Refused++
-	s.close(now, j)
+	j.refused = nil
 }
 
-// mayHaveRun reports whether a start of one of the job's tasks was ordered.
-func (j *job) mayHaveRun() bool {
+// mayHaveRun reports whether a run of one of the job's tasks may have started.
+func (j *job) mayHaveRun() bool { return j.hasBound() || j.ran() }
+
+// ran reports whether a run of one of the job's tasks has started, or is over
+// without word from its sidecar.
+func (j *job) ran() bool {
 	for i := range j.tasks {
-		if j.tasks[i].attempt > 0 {
+		if j.tasks[i].ran {
 			return true
 		}
 	}
@@ -117,6 +137,7 @@
 	switch {
 	case j.cancelled:
 		if !j.hasBound() {
+			s.answerRefused(j)
 			s.drop(now, j)
 		}
 	case j.done():
@@ -174,15 +195,29 @@
 	s.expiryAt = now + expiryInterval
 	for _, j := range s.jobs {
 		switch {
-		case !j.BestEffort || j.cancelled:
+		case !j.BestEffort:
+		case j.cancelled:
+			if now >= j.refuseBy {
+				s.answerRefused(j)
+			}
 		case now >= j.Deadline:
-			s.abandon(now, j, "deadline")
-		case j.waiting > 0 && now+j.longestLeft()/2 > j.Deadline:
+			s.abandon(now, j, "deadline", minRetry)
+		case j.waiting == 0:
+		case now+j.longestLeft()/2 > j.Deadline:
 			// Declared times are up to twice too long.
-			s.abandon(now, j, "too late to start")
+			s.abandon(now, j, "too late to start", minRetry)
+		case !j.mayHaveRun() && s.isPassedOver(now, j):
+			s.abandon(now, j, "overload", s.backlog(j.Job))
 		}
 	}
 }
 
+// isPassedOver reports whether a job will not start because others that can
+// still be in time take the room.
+func (s *Scheduler) isPassedOver(now clock.Millis, j *job) bool {
+	p := s.pool(j.Service)
+	return j.stage == overdue && p.crowded() || j.stage == late && p.overloaded(now)
+}
+
 // expiryInterval is the resolution of deadlines.
 const expiryInterval = 20 * clock.Millis(1)
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -47,6 +47,8 @@
 	queued  bool
 	// stage is what can still be reached, as of the last look.
 	stage stage
+	// finishing is true for a late job with a start.
+	finishing bool
 	// baseAttempt is added to the number of each attempt, so that attempts grow
 	// over owners.
 	baseAttempt batch.Attempt
@@ -56,6 +58,10 @@
 	storedNext int
 	unstoredAt clock.Millis
 	submitters []Request
+	// refused are the callers of a job that is given up who wait for the answer;
+	// they get it by refuseBy.
+	refused              []Request
+	refuseBy, retryAfter clock.Millis
 	// again is a best-effort job that was submitted again while the runs of the
 	// former submission are being stopped.
 	again      *resubmission
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -55,7 +55,14 @@
 	// storedSentAt is echoSentAt of the newest grant for stored jobs.
 	storedSentAt clock.Millis
 	pending      *wire.TaskOrders
-	lookups      []batch.RunID
+	// offered is true if room is held for this entry until its next orders.
+	offered bool
+	// heldTill is until when the free room is held for another entry.
+	heldTill clock.Millis
+	// demand is the urgency that the sidecar was last told, at demandAt.
+	demand   int32
+	demandAt clock.Millis
+	lookups  []batch.RunID
 	// slow is the learned run time relative to the estimates; 1 is as declared.
 	slow float64
 	seen int
@@ -114,6 +121,8 @@
 	n.unseen = nil
 	n.load = nil
 	n.pending = nil
+	n.offered = false
+	n.demand = 0
 	for _, b := range n.runs {
 		b.task.sequence = 0
 	}
@@ -144,6 +153,11 @@
 	}
 	n.echo = r.GetSentAt()
 	n.echoAt = now
+	n.offered = n.offered || r.GetOffer()
+	n.heldTill = 0
+	if r.GetHeld() {
+		n.heldTill = now + s.settings.OfferTime
+	}
 	s.noteLoad(n, r)
 	if r.GetInventory() {
 		s.inventory(now, n, r)
@@ -194,6 +208,7 @@
 // giveUp makes a bound task wait again whose run is known to be over.
 func (s *Scheduler) giveUp(b boundTask, n *node, reason string) {
 	s.counters.Lost++
+	b.task.ran = true
 	s.out = append(s.out, Decision{What: "run given up", Job: b.job.ID, Run: b.job.runID(b.task), Sidecar: n.address, Reason: reason})
 	s.unbind(b.job, b.task)
 	s.advance(s.now, b.job)
@@ -224,13 +239,16 @@
 // flush sends what has been ordered, with a grant for the newest report.
 func (s *Scheduler) flush(now clock.Millis) {
 	withheld := !s.mayOrder(now)
+	demands := s.demands(now)
 	for _, n := range s.list {
 		if !n.connected {
 			n.pending = nil
 			continue
 		}
-		due := n.echo != n.echoSent && n.echo != 0 && now-n.echoSentAt >= grantInterval
-		if n.pending == nil && !due {
+		w := demands[n.load.GetService()]
+		due := n.echo != n.echoSent && n.echo != 0 && (n.offered || now-n.echoSentAt >= grantInterval)
+		more := w.urgency != 0 && (n.demand == 0 || w.urgency < n.demand) && now-n.demandAt >= demandInterval
+		if n.pending == nil && !due && !more {
 			continue
 		}
 		orders := n.orders()
@@ -239,6 +257,11 @@
 		orders.Sequence = n.sequence
 		orders.GrantedFrom = n.echo
 		orders.StoredWithheld = withheld
+		orders.Demand, orders.DemandCpu = w.urgency, w.cpu
+		if n.demand != w.urgency {
+			n.demand, n.demandAt = w.urgency, now
+		}
+		n.offered = false
 		n.echoSent = n.echo
 		n.echoSentAt = n.echoAt
 		if !withheld {
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -11,12 +11,10 @@
 	// scanned bounds the waiting jobs that are looked at in a tick once one has
 	// found no room, so that small tasks may pass large ones at a bounded cost.
 	scanned = 32
-	// lateFactor is the multiple of the objective up to which a late job still
-	// counts for its caller.
-	lateFactor = 3
-	// useWeight makes a busy worker less attractive than an idle one of the
-	// same speed: its tasks share caches and its room is soon gone.
-	useWeight = 0.3
+	// useWeight makes a nearly full worker less attractive than an idle one that
+	// is up to three times slower, as long as the task is in time there: the room
+	// of fast workers is kept for tasks that slow ones cannot end in time.
+	useWeight = 2
 	// freshTime is how old the newest report of a sidecar may be for a start.
 	// Reports come every 150 ms; a silent machine gets nothing more.
 	freshTime = 400 * clock.Millis(1)
@@ -24,39 +22,6 @@
 	noise = 0.1
 )
 
-// stage orders jobs by what can still be reached for them.
-type stage int
-
-const (
-	inTime stage = iota
-	// late jobs have missed their objective but still count.
-	late
-	// overdue jobs are done when there is room.
-	overdue
-)
-
-func (j *job) stageAt(now clock.Millis) stage {
-	remaining := j.longestLeft()
-	switch {
-	case now+remaining <= j.dueAt():
-		return inTime
-	case now+remaining <= j.acceptedAt+lateFactor*j.Objective:
-		return late
-	}
-	return overdue
-}
-
-// longestLeft is the declared time of the longest step that is not done.
-func (j *job) longestLeft() clock.Millis {
-	var longest clock.Millis
-	for i, step := range j.Steps {
-		if j.left[i] > 0 {
-			longest = max(longest, step.Estimated)
-		}
-	}
-	return longest
-}
-
 // place binds waiting tasks to workers with room.
 func (s *Scheduler) place(now clock.Millis) {
 	if len(s.queue) == 0 {
@@ -70,6 +35,9 @@
 		if !j.BestEffort && !stored {
 			continue
 		}
+		if !s.mayStart(j) {
+			continue
+		}
 		if !s.placeJob(now, j) {
 			if misses++; misses >= scanned {
 				break
@@ -83,18 +51,10 @@
 	}
 }
 
-// restage moves jobs in the queue that have become late.
-func (s *Scheduler) restage(now clock.Millis) {
-	changed := false
-	for _, j := range s.queue {
-		if st := j.stageAt(now); st != j.stage {
-			j.stage = st
-			changed = true
-		}
-	}
-	if changed {
-		slices.SortFunc(s.queue, compareJobs)
-	}
+// mayStart reports whether a job gets room. Late ones without a start do not
+// while the workers are crowded.
+func (s *Scheduler) mayStart(j *job) bool {
+	return j.stage == inTime || j.mayHaveRun() || !s.pool(j.Service).crowded()
 }
 
 // placeJob binds the waiting tasks of a job and reports whether none is left.
@@ -116,20 +76,25 @@
 	return j.waiting == 0
 }
 
-// choose returns the worker on which a task is expected to end first, nil
-// without room.
+// choose returns the worker with the lowest cost among those with room on which
+// a task is expected to end by the time that its job can reach, nil if there is
+// none.
 func (s *Scheduler) choose(now clock.Millis, j *job, t *task) *node {
 	step := &j.Steps[t.step]
-	median := s.medianSlow(j.Service)
+	median := s.pool(j.Service).median
+	reach := float64(j.reach() - now - tripTime)
 	var best *node
 	var bestCost float64
 	for _, n := range s.list {
-		if !n.eligible(j.Service, step) || now-n.echoAt > freshTime || !n.free.Holds(step.Need) || !s.admits(now, n, median) {
+		if !n.eligible(j.Service, step) || now-n.echoAt > freshTime || now < n.heldTill || !n.free.Holds(step.Need) || !s.admits(now, n, median) {
 			continue
 		}
 		if step.MaxPerWorker > 0 && boundHere(j, t.step, n) >= step.MaxPerWorker {
 			continue
 		}
+		if n.runTime(step) > reach {
+			continue
+		}
 		if slices.Contains(t.failedOn, n.address) && s.elsewhere(j, t, n) {
 			continue
 		}
@@ -147,15 +112,22 @@
 		(step.Label == "" || slices.Contains(n.load.GetLabels(), step.Label))
 }
 
+// runTime is the expected run time of a task of a step in ms.
+func (n *node) runTime(step *batch.Step) float64 {
+	run := float64(step.Estimated) * n.slow
+	if step.Rack != "" && !slices.Contains(n.load.GetLabels(), step.Rack) {
+		run *= remoteFactor
+	}
+	return run
+}
+
 // cost is the expected run time of a task of a step, weighted by how busy the
 // worker is.
 func (n *node) cost(step *batch.Step) float64 {
-	cost := n.slow
-	if step.Rack != "" && !slices.Contains(n.load.GetLabels(), step.Rack) {
-		cost *= remoteFactor
-	}
+	cost := max(1, n.runTime(step))
 	if n.capacity.CPU > 0 {
-		cost *= 1 + useWeight*(1-float64(n.free.CPU)/float64(n.capacity.CPU))
+		use := 1 - float64(n.free.CPU)/float64(n.capacity.CPU)
+		cost *= 1 + useWeight*use*use*use
 	}
 	return cost
 }
@@ -180,18 +152,3 @@
 	}
 	return count
 }
-
-// medianSlow returns the median slowness of a service's workers.
-func (s *Scheduler) medianSlow(service string) float64 {
-	s.slows = s.slows[:0]
-	for _, n := range s.list {
-		if n.connected && n.load.GetService() == service {
-			s.slows = append(s.slows, n.slow)
-		}
-	}
-	if len(s.slows) == 0 {
-		return 1
-	}
-	slices.Sort(s.slows)
-	return s.slows[len(s.slows)/2]
-}
--- /dev/null
+++ b/internal/scheduler/pool.go
@@ -0,0 +1,136 @@
+package scheduler
+
+import (
+	"slices"
+
+	"github.com/teaseltide/teaseltide/pkg/clock"
+)
+
+const (
+	// crowdedUse is the use of a service's workers from which late jobs without
+	// a start wait. The rest is kept for jobs that can be in time: behind late
+	// ones that fill every worker, each new job would wait for a run to end and
+	// be late as well.
+	crowdedUse = 0.85
+	// sustainedCrowding is how long the workers must have been crowded until it
+	// is taken for more than a short burst: about the run time of a task.
+	sustainedCrowding = 200 * clock.Millis(1)
+	// speedInterval is how old the order of the workers by speed may be.
+	speedInterval = 50 * clock.Millis(1)
+)
+
+// pool is what an entry knows of all workers of a service together.
+type pool struct {
+	// free and capacity are in thousandths of a core.
+	free, capacity int64
+	// fastest and median are the learned slowness of the fastest and the median
+	// worker.
+	fastest, median float64
+	// crowdedSince is since when the workers have been crowded while jobs wait
+	// for them, 0 if they are not.
+	crowdedSince clock.Millis
+	slows        []float64
+}
+
+// use returns the part of the workers that is taken, 1 without workers.
+func (p *pool) use() float64 {
+	if p.capacity <= 0 {
+		return 1
+	}
+	return 1 - float64(p.free)/float64(p.capacity)
+}
+
+func (p *pool) crowded() bool { return p.use() > crowdedUse }
+
+// overloaded reports whether more work comes than the workers do: they have been
+// crowded for some time while jobs waited.
+func (p *pool) overloaded(now clock.Millis) bool {
+	return p.crowdedSince != 0 && now-p.crowdedSince >= sustainedCrowding
+}
+
+// pool returns the workers of a service.
+func (s *Scheduler) pool(service string) *pool {
+	p := s.pools[service]
+	if p == nil {
+		p = &pool{fastest: 1, median: 1}
+		s.pools[service] = p
+	}
+	return p
+}
+
+// surveyPools sums up the workers of each service.
+func (s *Scheduler) surveyPools(now clock.Millis) {
+	speeds := now >= s.speedsAt
+	if speeds {
+		s.speedsAt = now + speedInterval
+	}
+	for _, p := range s.pools {
+		p.free, p.capacity = 0, 0
+		if speeds {
+			p.slows = p.slows[:0]
+		}
+	}
+	for _, n := range s.list {
+		if !n.connected || n.load == nil {
+			continue
+		}
+		p := s.pool(n.load.GetService())
+		if speeds {
+			p.slows = append(p.slows, n.slow)
+		}
+		if n.load.GetReady() && !n.ejected {
+			p.free += max(0, n.free.CPU)
+			p.capacity += n.capacity.CPU
+		}
+	}
+	if speeds {
+		for service, p := range s.pools {
+			p.order(s.fastest(service))
+		}
+	}
+	s.noteCrowding(now)
+}
+
+// order takes the speeds of the workers.
+func (p *pool) order(fastest float64) {
+	p.fastest, p.median = fastest, 1
+	if len(p.slows) > 0 {
+		slices.Sort(p.slows)
+		p.median = p.slows[len(p.slows)/2]
+	}
+}
+
+// fastest returns the slowness of the fastest worker that takes tasks, 1 if
+// there is none.
+func (s *Scheduler) fastest(service string) float64 {
+	fastest := 0.0
+	for _, n := range s.list {
+		if n.connected && n.load.GetReady() && !n.ejected && n.load.GetService() == service && (fastest == 0 || n.slow < fastest) {
+			fastest = n.slow
+		}
+	}
+	if fastest == 0 {
+		return 1
+	}
+	return fastest
+}
+
+// noteCrowding follows since when workers have been crowded while jobs waited.
+func (s *Scheduler) noteCrowding(now clock.Millis) {
+	for _, p := range s.pools {
+		if !p.crowded() {
+			p.crowdedSince = 0
+		}
+	}
+	if len(s.queue) == 0 {
+		for _, p := range s.pools {
+			p.crowdedSince = 0
+		}
+		return
+	}
+	for _, j := range s.queue {
+		if p := s.pool(j.Service); p.crowdedSince == 0 && p.crowded() {
+			p.crowdedSince = now
+		}
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -32,6 +32,9 @@
 	// SilentOwner is how long an entry that has lost the store goes on giving
 	// orders.
 	SilentOwner clock.Millis
+	// OfferTime is how long a sidecar holds free room for the entry that it was
+	// offered to.
+	OfferTime clock.Millis
 	// KeepEnded is how long the end of a job is remembered.
 	KeepEnded clock.Millis
 	// Seed of the random choice among equally good workers.
@@ -68,8 +71,9 @@
 	nonce uint64
 	// noted is true if the last note to the other entries had pending jobs.
 	noted bool
-	// slows is scratch space of medianSlow.
-	slows    []float64
+	// pools holds what is known of the workers of each service.
+	pools    map[string]*pool
+	speedsAt clock.Millis
 	sweepAt  clock.Millis
 	expiryAt clock.Millis
 	// now is the time of the tick or event that is being handled.
@@ -102,6 +106,7 @@
 		sessions:   make(map[ownership.Incarnation]*node),
 		successors: make(ownership.Successors),
 		pending:    make(map[ownership.Incarnation]map[batch.Route]int64),
+		pools:      make(map[string]*pool),
 		peers:      1,
 	}
 }
@@ -135,6 +140,7 @@
 // Tick returns what is to be done now.
 func (s *Scheduler) Tick(now clock.Millis) []Command {
 	s.now = now
+	s.surveyPools(now)
 	s.checkNodes(now)
 	s.checkBestEffort(now)
 	s.checkTakeovers(now)
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -28,6 +28,9 @@
 	// sequence of the orders that carried the start.
 	sequence int64
 	failures int
+	// ran is true once a run has started, or is over without word from its
+	// sidecar.
+	ran bool
 	// failedAt holds the attempts whose failure is counted.
 	failedAt []batch.Attempt
 	// failedOn holds the workers that failed the task.
@@ -52,6 +55,7 @@
 	n.runs[j.runID(t).TaskID] = boundTask{j, t}
 	n.unseen = append(n.unseen, unseenStart{sequence: t.sequence, need: step.Need})
 	n.free = n.free.Sub(step.Need)
+	s.pool(j.Service).free -= step.Need.CPU
 	n.orders().Starts = append(n.orders().Starts, s.startOf(j, t, j.Spec))
 	s.counters.Starts++
 }
@@ -91,6 +95,9 @@
 		n.release(id)
 		return
 	}
+	if e.GetState() != wire.TaskEvent_STATE_QUEUED && e.GetState() != wire.TaskEvent_STATE_NOT_STARTED {
+		t.ran = true
+	}
 	switch e.GetState() {
 	case wire.TaskEvent_STATE_QUEUED, wire.TaskEvent_STATE_RUNNING:
 		s.atWork(now, n, j, t, id, e.GetState() == wire.TaskEvent_STATE_RUNNING)
