--- a/internal/httpd/client.go
+++ b/internal/httpd/client.go
@@ -164,6 +164,13 @@
 	c.srv.buffered.Add(-released)
 }
 
+// isIdle reports whether no request is being received, handled or answered.
+func (c *client) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.started == 0 && c.pending == 0 && c.out.unsent.Load() == 0
+}
+
 func (c *client) abort() { _ = c.conn.Close() }
 
 // check applies the timeouts and ends the context of a closed connection.
--- a/internal/httpd/drain.go
+++ b/internal/httpd/drain.go
@@ -26,9 +26,11 @@
 // sent, at most until ctx ends, and reports whether that was reached. Then it
 // stops listening and waits until clients have stopped sending on the
 // connections that they still have. Meanwhile requests are served; the handler
-// refuses them.
+// refuses them. In the end it closes the connections without a request, so that
+// no request is read while the process ends.
 func (s *Server) Drain(ctx context.Context) bool {
 	s.DisableKeepAlives()
+	defer s.closeIdle()
 	if !s.awaitSettled(ctx) {
 		return false
 	}
@@ -67,3 +69,14 @@
 		}
 	}
 }
+
+// closeIdle closes the connections on which no request is being received,
+// handled or answered.
+func (s *Server) closeIdle() {
+	s.conns.Range(func(_, v any) bool {
+		if c := v.(*client); c.isIdle() {
+			c.abort()
+		}
+		return true
+	})
+}
--- a/internal/httpd/drain_test.go
+++ b/internal/httpd/drain_test.go
@@ -80,3 +80,26 @@
 		t.Errorf("processor time of an idle drain of %v: got %v, want less than half of it", wall, used)
 	}
 }
+
+// Found on cbsa-bombas-grown, trouble-2: a request that came on an idle
+// connection while the process ended was read and never answered.
+func TestDrainedServerReadsNoRequest(t *testing.T) {
+	handled := make(chan struct{}, 1)
+	limits := testLimits()
+	limits.IdleTimeout = 10_000
+	s := start(t, limits, func(http.ResponseWriter, *http.Request) { handled <- struct{}{} })
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if !s.Drain(context.Background()) {
+		t.Fatal("got not drained, want drained")
+	}
+	io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	select {
+	case <-handled:
+		t.Error("got a request handled after the drain, want the connection closed before")
+	case <-time.After(200 * time.Millisecond):
+	}
+}
