Tell sidecars only of tasks that would start there, and report load less often

Cause: an entry told every sidecar of its most urgent task, also workers that are too slow for it. These offered their room again and again, each time in vain.

Change: demand is worked out for each worker. An entry that had no use for an offer gets the next one after 25 ms. Reports that only tell of a changed load come every 100 ms instead of 25; a change of readiness is reported at once.

--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -84,7 +84,7 @@
 	if !o.GetStoredWithheld() {
 		e.storedFrom = e.grantedFrom
 	}
-	x.noteDemand(from, e, o)
+	x.noteDemand(now, from, e, o)
 	for _, s := range o.GetAdopts() {
 		x.adopt(from, s)
 	}
@@ -212,7 +212,7 @@
 			continue
 		}
 		offered := x.offer.entry == id && x.offer.at == 0
-		urgent := offered || len(e.events) > 0 || (len(e.fenced) > 0 || e.inventory) && x.listed
+		urgent := offered || e.sentReady != x.ready() || len(e.events) > 0 || (len(e.fenced) > 0 || e.inventory) && x.listed
 		load := e.sentLoad != x.loadSerial && now-e.sentAt >= loadInterval
 		if !urgent && !load && now-e.sentAt < reportInterval {
 			continue
@@ -242,6 +242,7 @@
 	e.events = nil
 	e.sentAt = now
 	e.sentLoad = x.loadSerial
+	e.sentReady = report.GetLoad().GetReady()
 	return report
 }
 
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -41,8 +41,9 @@
 	// grant survives several lost ones.
 	reportInterval = 150 * clock.Millis(1)
 	// loadInterval is the shortest time between two reports that only tell of a
-	// changed load.
-	loadInterval = 25 * clock.Millis(1)
+	// changed load. Entries that wait for room get offers, so at 25 ms they serve
+	// no more (internal/loadtest), but every entry hears of every worker.
+	loadInterval = 100 * clock.Millis(1)
 	// minStall is how long a run may make no progress before it is stopped: two
 	// listings of a worker on which nothing ends. A long run gets stallShare of
 	// its declared time, in which it makes some percent of progress also on a
@@ -143,8 +144,10 @@
 	// received is the sequence of the last orders of the session.
 	received int64
 	demand
-	// sentLoad is the version of the load that was last sent.
-	sentLoad int64
+	// sentLoad is the version of the load that was last sent, sentReady whether
+	// the worker took tasks by it.
+	sentLoad  int64
+	sentReady bool
 }
 
 // Executor is the decision core of a sidecar.
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -1,6 +1,7 @@
 package executor_test
 
 import (
+	"maps"
 	"strconv"
 	"testing"
 
@@ -525,3 +526,45 @@
 		})
 	}
 }
+
+// Guards against entries that order tasks for the same free room in vain: it is
+// offered to the one with the most urgent task, and the others are told that it
+// is held.
+func TestFreeRoomIsOfferedToTheMostUrgentEntry(t *testing.T) {
+	b := newBed(t)
+	b.x.Connected(entryB)
+	b.tick()
+	b.take()
+	demand := func(from ownership.Incarnation, urgency int32, cpu int64) {
+		b.x.Orders(b.now, from, &wire.TaskOrders{GrantedFrom: int64(b.now), Demand: urgency, DemandCpu: cpu})
+	}
+	demand(entryA, 2, 6000)
+	demand(entryB, 1, 6000)
+	b.tick()
+	if got, want := b.offers(), (map[ownership.Incarnation]bool{entryB: true}); !maps.Equal(got, want) {
+		t.Fatalf("offers: got %v, want %v", got, want)
+	}
+	b.advance(1)
+	demand(entryB, 1, 6000)
+	b.tick()
+	if got, want := b.offers(), (map[ownership.Incarnation]bool{entryA: true}); !maps.Equal(got, want) {
+		t.Errorf("offers after one without use: got %v, want %v", got, want)
+	}
+	b.advance(1)
+	demand(entryA, 2, 90_000)
+	b.advance(40)
+	if got, want := b.offers(), (map[ownership.Incarnation]bool{entryB: true}); !maps.Equal(got, want) {
+		t.Errorf("offers while one entry needs more than there is: got %v, want %v", got, want)
+	}
+}
+
+// offers returns the entries that got an offer since the last call.
+func (b *bed) offers() map[ownership.Incarnation]bool {
+	out := make(map[ownership.Incarnation]bool)
+	for _, c := range b.take() {
+		if r, ok := c.(executor.Report); ok && r.Report.GetOffer() {
+			out[r.Entry] = true
+		}
+	}
+	return out
+}
--- a/internal/executor/offers.go
+++ b/internal/executor/offers.go
@@ -10,14 +10,19 @@
 // its orders come after a round trip between failure domains, 2 to 4 ms.
 const OfferTime = 8 * clock.Millis(1)
 
+// offerPause is the time until the next offer to an entry that had no use for
+// the last one.
+const offerPause = 25 * clock.Millis(1)
+
 // demand is what an entry has waiting for room.
 type demand struct {
 	// urgency of its most urgent task, 1 for the highest; 0 if none waits.
 	urgency int32
 	// cpu that this task needs.
 	cpu int64
-	// offeredAt is when the entry last got an offer.
-	offeredAt clock.Millis
+	// offeredAt is when the entry last got an offer, declinedAt when it last had
+	// no use for one.
+	offeredAt, declinedAt clock.Millis
 }
 
 // offer is free room that is held for one entry. Without offers all entries
@@ -31,10 +36,13 @@
 
 // noteDemand takes what an entry has waiting. Orders that were decided on the
 // offer's report answer it.
-func (x *Executor) noteDemand(from ownership.Incarnation, e *entry, o *wire.TaskOrders) {
+func (x *Executor) noteDemand(now clock.Millis, from ownership.Incarnation, e *entry, o *wire.TaskOrders) {
 	e.urgency, e.cpu = o.GetDemand(), o.GetDemandCpu()
 	if x.offer.entry == from && x.offer.at != 0 && o.GetGrantedFrom() >= int64(x.offer.at) {
 		x.offer = offer{}
+		if len(o.GetStarts()) == 0 {
+			e.declinedAt = now
+		}
 	}
 }
 
@@ -52,7 +60,7 @@
 	var best *entry
 	var to ownership.Incarnation
 	for id, e := range x.entries {
-		if !e.connected || e.deposed || e.urgency == 0 || e.cpu > free {
+		if !e.connected || e.deposed || e.urgency == 0 || e.cpu > free || now-e.declinedAt < offerPause {
 			continue
 		}
 		if best == nil || e.urgency < best.urgency ||
--- a/internal/loadtest/fleet_test.go
+++ b/internal/loadtest/fleet_test.go
@@ -121,6 +121,8 @@
 	// was told that they did not run.
 	started map[batch.JobID]bool
 	refused map[batch.JobID]bool
+	// messages counts those between entries and sidecars.
+	messages int
 	// submitted, if not nil, takes the jobs instead of the entries.
 	submitted func(s *submission, tasks []float64)
 }
@@ -323,6 +325,7 @@
 func (f *fleet) entryCommand(e *entry, c scheduler.Command) {
 	switch c := c.(type) {
 	case scheduler.SendOrders:
+		f.messages++
 		for _, s := range f.sidecars {
 			if s.id == c.Sidecar {
 				f.at(linkDelay, func() {
@@ -383,6 +386,7 @@
 			}
 		})
 	case executor.Report:
+		f.messages++
 		for _, e := range f.entries {
 			if e.id == command.Entry {
 				f.at(linkDelay, func() {
@@ -471,7 +475,7 @@
 }
 
 func (f *fleet) String() string {
-	s := fmt.Sprintf("share %.3f", f.share())
+	s := fmt.Sprintf("share %.3f, %.1f messages a job", f.share(), float64(f.messages)/float64(f.jobs))
 	for _, k := range f.kinds {
 		o := f.outcomes[k.name]
 		s += fmt.Sprintf("\n%-14s asked %5d in time %5d late %5d too late %5d refused %5d failed %4d", k.name, o.asked, o.inTime, o.late, o.tooLate, o.refused, o.failed)
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -239,13 +239,12 @@
 // flush sends what has been ordered, with a grant for the newest report.
 func (s *Scheduler) flush(now clock.Millis) {
 	withheld := !s.mayOrder(now)
-	demands := s.demands(now)
 	for _, n := range s.list {
 		if !n.connected {
 			n.pending = nil
 			continue
 		}
-		w := demands[n.load.GetService()]
+		w := s.demandFor(now, n)
 		due := n.echo != n.echoSent && n.echo != 0 && (n.offered || now-n.echoSentAt >= grantInterval)
 		more := w.urgency != 0 && (n.demand == 0 || w.urgency < n.demand) && now-n.demandAt >= demandInterval
 		if n.pending == nil && !due && !more {
--- /dev/null
+++ b/internal/scheduler/overload_test.go
@@ -0,0 +1,125 @@
+package scheduler_test
+
+import (
+	"testing"
+
+	"github.com/teaseltide/teaseltide/internal/batch"
+	"github.com/teaseltide/teaseltide/internal/scheduler"
+	"github.com/teaseltide/teaseltide/internal/wire"
+	"github.com/teaseltide/teaseltide/pkg/clock"
+)
+
+// Found on cbsa-bombas, scale-2: 279 jobs whose orders had all come back without
+// a start were answered as if they might have run, so that their callers could
+// not try again. While an order is on its way, nothing is said.
+func TestReturnedOrdersAreNoStart(t *testing.T) {
+	for name, test := range map[string]struct {
+		state wire.TaskEvent_State
+		want  scheduler.Result
+	}{
+		"returned": {wire.TaskEvent_STATE_NOT_STARTED, scheduler.NotStored},
+		"started":  {wire.TaskEvent_STATE_RUNNING, scheduler.Unknown},
+		"no word":  {wire.TaskEvent_STATE_UNSPECIFIED, scheduler.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, 1)
+			j := job("j", 1, true)
+			j.Deadline = b.now + 20
+			r := b.submit(j)
+			starts := b.starts()
+			if len(starts) != 1 {
+				t.Fatalf("starts: got %d, want 1", len(starts))
+			}
+			b.now += 21
+			b.tick()
+			if got := len(b.replies()); got != 0 {
+				t.Fatalf("replies while an order is on its way: got %d, want 0", got)
+			}
+			if test.state != wire.TaskEvent_STATE_UNSPECIFIED {
+				b.report(starts[0].at, event(starts[0].run, test.state))
+			}
+			b.now += 50
+			b.tick()
+			if got, want := b.replies()[r].Result, test.want; got != want {
+				t.Errorf("result: got %v, want %v", got, want)
+			}
+		})
+	}
+}
+
+// Guards against callers that wait for their deadline while more work comes than
+// the workers do: a job that has become late is refused soon after, and one that
+// would be late on arrival at once.
+func TestOverloadIsRefusedSoon(t *testing.T) {
+	b := newBed(t, 1)
+	b.advanceBusy(20)
+	patient := job("patient", 6, true)
+	patient.Objective = 2000
+	b.submit(patient)
+	late := b.submit(job("late", 3, true))
+	b.advanceBusy(260)
+	if got := b.replies()[late]; got.Result != scheduler.NotStored || got.RetryAfter < clock.Second {
+		t.Errorf("job that became late: got %v after %d ms, want not stored after at least 1 s", got.Result, got.RetryAfter)
+	}
+	arrived := b.submit(job("arrived", 1, true))
+	if got := b.replies()[arrived]; got.Result != scheduler.NotStored || got.RetryAfter < clock.Second {
+		t.Errorf("job that would be late: got %v after %d ms, want not stored after at least 1 s", got.Result, got.RetryAfter)
+	}
+}
+
+// A late job whose other tasks have ended is finished before new ones start:
+// what is done of it would be lost.
+func TestLateJobWithAStartIsFinished(t *testing.T) {
+	b := newBed(t, 1)
+	late := job("late", 4, true)
+	b.submit(late)
+	starts := b.starts()
+	if got, want := len(starts), 3; got != want {
+		t.Fatalf("starts: got %d, want %d", got, want)
+	}
+	full := &wire.TaskReport{Load: &wire.WorkerLoad{Cpu: 20_000, MemoryMb: 1000, Ready: true, Service: "s"}}
+	for _, s := range starts {
+		full.Events = append(full.Events, event(s.run, wire.TaskEvent_STATE_RUNNING))
+	}
+	b.send("w0", full)
+	b.advanceBusy(200)
+	b.submit(job("new", 4, true))
+	b.starts()
+	b.report("w0")
+	for _, s := range b.starts() {
+		if s.run.Job == batch.JobID("late") {
+			return
+		}
+	}
+	t.Error("the late job's last task was not started, want it before those of a new job")
+}
+
+// Sidecars offer room by what entries tell them, so an entry must not ask for
+// room that the waiting task cannot use in time.
+func TestDemandNamesTasksThatWouldStart(t *testing.T) {
+	b := newBed(t, 2)
+	for i := range 40 {
+		j := job("learn", 1, true)
+		j.ID = batch.JobID(rune('a' + i))
+		b.submit(j)
+		for _, s := range b.starts() {
+			e := event(s.run, wire.TaskEvent_STATE_DONE)
+			if e.RunMs = 100; s.at == "w1" {
+				e.RunMs = 400
+			}
+			b.report(s.at, e)
+		}
+	}
+	b.advanceBusy(20)
+	b.submit(job("waiting", 1, true))
+	b.advanceBusy(40)
+	got := make(map[scheduler.Address]int32)
+	for a, all := range b.sent {
+		for _, o := range all {
+			got[a] = max(got[a], o.GetDemand())
+		}
+	}
+	if got["w0"] == 0 || got["w1"] != 0 {
+		t.Errorf("demand by worker: got %v, want some at w0 and none at w1, which is four times slower", got)
+	}
+}
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -82,7 +82,6 @@
 func (s *Scheduler) choose(now clock.Millis, j *job, t *task) *node {
 	step := &j.Steps[t.step]
 	median := s.pool(j.Service).median
-	reach := float64(j.reach() - now - tripTime)
 	var best *node
 	var bestCost float64
 	for _, n := range s.list {
@@ -92,7 +91,7 @@
 		if step.MaxPerWorker > 0 && boundHere(j, t.step, n) >= step.MaxPerWorker {
 			continue
 		}
-		if n.runTime(step) > reach {
+		if !n.reaches(now, j, step) {
 			continue
 		}
 		if slices.Contains(t.failedOn, n.address) && s.elsewhere(j, t, n) {
@@ -121,6 +120,12 @@
 	return run
 }
 
+// reaches reports whether a task of a step that starts now is expected to end by
+// the time that its job can reach.
+func (n *node) reaches(now clock.Millis, j *job, step *batch.Step) bool {
+	return n.runTime(step) <= float64(j.reach()-now-tripTime)
+}
+
 // cost is the expected run time of a task of a step, weighted by how busy the
 // worker is.
 func (n *node) cost(step *batch.Step) float64 {
