Call it overload after a second of crowding, and refuse late jobs only then

Half of its room is away for some tenths of a second while a worker starts again; 200 ms of crowding were taken for overload, and jobs that had missed three times their objective were refused while the workers were crowded at all. Both would have been served a little later, well within the callers' time.

Change: overload is a second of crowding while jobs wait; room for less than 100 ms does not end it, since in overload too a run that ends leaves room for a moment. Late and overdue jobs without a start are refused in overload only. The load test counts the time of a refusal in objectives as they follow from the declared run times, which are all that an entry knows, and bounds it by the three that it had plus 0.5 before; TestOverloadIsRefusedSoon waits for the second.

--- a/internal/loadtest/fleet_test.go
+++ b/internal/loadtest/fleet_test.go
@@ -81,7 +81,8 @@
 // outcome counts what became of the jobs of a kind.
 type outcome struct {
 	asked, inTime, late, tooLate, refused, failed int
-	// refusedAfter is the longest time until a refusal, in objectives.
+	// refusedAfter is the longest time until a refusal, in objectives as they
+	// follow from the declared run times.
 	refusedAfter float64
 }
 
@@ -137,11 +138,13 @@
 
 // submission is a job that a caller waits for.
 type submission struct {
-	id        batch.JobID
-	kind      *kind
-	at        clock.Millis
-	objective clock.Millis
-	counts    bool
+	id   batch.JobID
+	kind *kind
+	at   clock.Millis
+	// objective follows from the true run times, declared from those that the
+	// caller declared.
+	objective, declared clock.Millis
+	counts              bool
 }
 
 // sidecar is a sidecar with its worker.
@@ -291,12 +294,13 @@
 	declared := clock.Millis(work * (1 + f.declaredOff*(2*f.rand.Float64()-1)))
 	id := batch.JobID(fmt.Sprintf("%s-%d", k.name, f.jobs))
 	s := &submission{id: id, kind: k, at: f.now, objective: clock.Millis(slack*longest) + target, counts: counts}
+	s.declared = clock.Millis(slack*float64(declared)) + target
 	patience := max(f.patience, patienceTimes*s.objective)
 	need := batch.Resources{CPU: int64(float64(k.cpu) * min(1.5, f.spread(0.2))), MemoryMB: 64}
 	job := batch.Job{
 		ID: id, Route: batch.Route(k.name), Service: service,
 		Spec: strings.Join(tasks, " "), Priority: k.priority, MaxFailures: 4, BestEffort: true, Deadline: f.now + patience,
-		Objective: clock.Millis(slack*float64(declared)) + target,
+		Objective: s.declared,
 		Steps:     []batch.Step{{Count: len(tasks), Need: need, Estimated: declared}},
 	}
 	pick, at := f.rand.Float64(), 0
@@ -356,7 +360,7 @@
 	switch {
 	case r.Result == scheduler.NotStored:
 		o.refused++
-		o.refusedAfter = max(o.refusedAfter, float64(took)/float64(s.objective))
+		o.refusedAfter = max(o.refusedAfter, float64(took-callerTrip)/float64(s.declared))
 	case r.Result != scheduler.Ended || r.State != batch.Complete:
 		o.failed++
 	default:
--- a/internal/loadtest/load_test.go
+++ b/internal/loadtest/load_test.go
@@ -103,8 +103,8 @@
 		if o.failed > 0 {
 			t.Errorf("%s: got %d jobs given up after a start, want none", name, o.failed)
 		}
-		if o.refusedAfter > lateTimes+0.5 {
-			t.Errorf("%s: a refusal came after %.1f objectives, want it before the job is too late", name, o.refusedAfter)
+		if o.refusedAfter > lateTimes {
+			t.Errorf("%s: a refusal came after %.2f objectives, want it before the job is too late", name, o.refusedAfter)
 		}
 	}
 	for id := range f.refused {
--- a/internal/scheduler/besteffort.go
+++ b/internal/scheduler/besteffort.go
@@ -212,11 +212,10 @@
 	}
 }
 
-// isPassedOver reports whether a job will not start because others that can
-// still be in time take the room.
+// isPassedOver reports whether a late job will not start because others that can
+// still be in time take the room for long.
 func (s *Scheduler) isPassedOver(now clock.Millis, j *job) bool {
-	p := s.pool(j.Service)
-	return j.stage == overdue && p.crowded() || j.stage == late && p.overloaded(now)
+	return j.stage != inTime && s.pool(j.Service).overloaded(now)
 }
 
 // expiryInterval is the resolution of deadlines.
--- a/internal/scheduler/overload_test.go
+++ b/internal/scheduler/overload_test.go
@@ -54,17 +54,42 @@
 	b := newBed(t, 1)
 	b.advanceBusy(20)
 	patient := job("patient", 6, true)
-	patient.Objective = 2000
+	patient.Objective, patient.Deadline = 20*clock.Second, b.now+20*clock.Second
 	b.submit(patient)
-	late := b.submit(job("late", 3, true))
-	b.advanceBusy(260)
-	if got := b.replies()[late]; got.Result != scheduler.NotStored || got.RetryAfter < clock.Second {
-		t.Errorf("job that became late: got %v after %d ms, want not stored after at least 1 s", got.Result, got.RetryAfter)
-	}
+	b.advanceBusy(1100)
 	arrived := b.submit(job("arrived", 1, true))
 	if got := b.replies()[arrived]; got.Result != scheduler.NotStored || got.RetryAfter < clock.Second {
 		t.Errorf("job that would be late: got %v after %d ms, want not stored after at least 1 s", got.Result, got.RetryAfter)
 	}
+	hopeful := job("hopeful", 1, true)
+	hopeful.Objective = 400
+	late := b.submit(hopeful)
+	if got := len(b.replies()); got != 0 {
+		t.Fatalf("replies to a job that can be in time: got %d, want 0", got)
+	}
+	b.advanceBusy(340)
+	if got := b.replies()[late]; got.Result != scheduler.NotStored || got.RetryAfter < clock.Second {
+		t.Errorf("job that became late: got %v after %d ms, want not stored after at least 1 s", got.Result, got.RetryAfter)
+	}
+}
+
+// Found by TestWorkerReborn: a worker that starts again takes part of the room
+// for some tenths of a second. Jobs that are late for it are still served.
+func TestShortCrowdingRefusesNoLateJob(t *testing.T) {
+	b := newBed(t, 1)
+	b.advanceBusy(20)
+	r := b.submit(job("late", 1, true))
+	b.advanceBusy(400)
+	if got := len(b.replies()); got != 0 {
+		t.Fatalf("replies after 400 ms without room: got %d, want 0", got)
+	}
+	b.report("w0")
+	for _, s := range b.starts() {
+		b.report(s.at, event(s.run, wire.TaskEvent_STATE_DONE))
+	}
+	if got, want := b.replies()[r].Result, scheduler.Ended; got != want {
+		t.Errorf("late job: got %v, want %v", got, want)
+	}
 }
 
 // A late job whose other tasks have ended is finished before new ones start:
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -13,8 +13,11 @@
 	// be late as well.
 	crowdedUse = 0.85
 	// sustainedCrowding is how long the workers must have been crowded until it
-	// is taken for more than a short burst: about the run time of a task.
-	sustainedCrowding = 200 * clock.Millis(1)
+	// is taken for overload: a worker that starts again is back sooner.
+	sustainedCrowding = 1 * clock.Second
+	// crowdingEnds is how long the workers must have had room until crowding is
+	// over: in overload too, single runs that end leave room for a moment.
+	crowdingEnds = 100 * clock.Millis(1)
 	// speedInterval is how old the order of the workers by speed may be.
 	speedInterval = 50 * clock.Millis(1)
 )
@@ -27,9 +30,9 @@
 	// worker.
 	fastest, median float64
 	// crowdedSince is since when the workers have been crowded while jobs wait
-	// for them, 0 if they are not.
-	crowdedSince clock.Millis
-	slows        []float64
+	// for them, 0 if they are not; crowdedAt is when they last were.
+	crowdedSince, crowdedAt clock.Millis
+	slows                   []float64
 }
 
 // use returns the part of the workers that is taken, 1 without workers.
@@ -117,20 +120,19 @@
 
 // noteCrowding follows since when workers have been crowded while jobs waited.
 func (s *Scheduler) noteCrowding(now clock.Millis) {
-	for _, p := range s.pools {
-		if !p.crowded() {
-			p.crowdedSince = 0
+	for _, j := range s.queue {
+		p := s.pool(j.Service)
+		if p.crowdedAt == now || !p.crowded() {
+			continue
 		}
-	}
-	if len(s.queue) == 0 {
-		for _, p := range s.pools {
-			p.crowdedSince = 0
+		p.crowdedAt = now
+		if p.crowdedSince == 0 {
+			p.crowdedSince = now
 		}
-		return
 	}
-	for _, j := range s.queue {
-		if p := s.pool(j.Service); p.crowdedSince == 0 && p.crowded() {
-			p.crowdedSince = now
+	for _, p := range s.pools {
+		if now-p.crowdedAt >= crowdingEnds {
+			p.crowdedSince = 0
 		}
 	}
 }
