Let jobs wait for the workers in the first second of an entry

An entry takes callers before its first session with a sidecar, 30 to 100 ms later, and refused their jobs as fitting no worker, with 2 s to wait: 12 of some 300 jobs of these two seconds.

Change: for a second after its start an entry keeps jobs that fit no worker which it knows.

Test: TestEntryThatStartsWaitsForItsWorkers (no start before, one after).

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -11,6 +11,9 @@
 	minRetry = 1 * clock.Second
 	// maxOpen bounds the jobs that an entry holds; a job takes about 2 KB.
 	maxOpen = 20_000
+	// settleTime is how long an entry that starts may not know of its workers:
+	// when all processes start together, the last session is up after 0.6 s.
+	settleTime = 1 * clock.Second
 )
 
 // refusal tells why a job is refused at once, and when its caller may come
@@ -27,7 +30,10 @@
 		return "too many jobs", minRetry
 	}
 	capacity, fits := s.serving(b)
-	if !fits {
+	switch {
+	case !fits && now < s.startedAt+settleTime:
+		return "", 0
+	case !fits:
 		return "no worker fits", storeRetry
 	}
 	wait := s.expectedWait(b, capacity)
--- a/internal/scheduler/overload_test.go
+++ b/internal/scheduler/overload_test.go
@@ -148,3 +148,30 @@
 		t.Errorf("demand by worker: got %v, want some at w0 and none at w1, which is four times slower", got)
 	}
 }
+
+// Found on cbsa-bombas, scale-2: when all processes start again, an entry refused
+// the jobs that came before its first session with a sidecar, a tenth of a second
+// later.
+func TestEntryThatStartsWaitsForItsWorkers(t *testing.T) {
+	b := newBed(t, 0)
+	b.tick()
+	r := b.submit(job("early", 1, true))
+	b.now += 100
+	b.tick()
+	b.connect("w0", 20_000)
+	starts := b.starts()
+	if len(starts) != 1 {
+		t.Fatalf("starts once a worker is there: got %d, want 1", len(starts))
+	}
+	b.report(starts[0].at, event(starts[0].run, wire.TaskEvent_STATE_DONE))
+	if got, want := b.replies()[r].Result, scheduler.Ended; got != want {
+		t.Errorf("result: got %v, want %v", got, want)
+	}
+	b.now += 2000
+	large := job("large", 1, true)
+	large.Steps[0].Need.CPU = 30_000
+	r = b.submit(large)
+	if got, want := b.replies()[r].Result, scheduler.NotStored; got != want {
+		t.Errorf("job that fits no worker, later: got %v, want %v", got, want)
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -59,6 +59,8 @@
 	// successors names for each deposed entry the one that took over.
 	successors ownership.Successors
 	takeovers  []*takeover
+	// startedAt is when the entry began, the time of its first tick.
+	startedAt clock.Millis
 	// contactAt is when the entry was last known not to be deposed.
 	contactAt clock.Millis
 	// storeFailing is true while the store refuses this entry's calls.
@@ -140,6 +142,9 @@
 // Tick returns what is to be done now.
 func (s *Scheduler) Tick(now clock.Millis) []Command {
 	s.now = now
+	if s.startedAt == 0 {
+		s.startedAt = now
+	}
 	s.surveyPools(now)
 	s.checkNodes(now)
 	s.checkBestEffort(now)
