--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -41,8 +41,8 @@
 	// grant survives several lost ones.
 	reportInterval = 150 * clock.Millis(1)
 	// loadInterval is the shortest time between two reports that only tell of a
-	// changed load. Entries that wait for room get offers, so at 25 ms they serve
-	// no more (internal/loadtest), but every entry hears of every worker.
+	// changed load. Entries that wait for room get offers besides, and every
+	// entry hears of every worker.
 	loadInterval = 100 * clock.Millis(1)
 	// minStall is how long a run may make no progress before it is stopped: two
 	// listings of a worker on which nothing ends. A long run gets stallShare of
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -11,8 +11,9 @@
 	minRetry = 1 * clock.Second
 	// maxOpen bounds the jobs that an entry holds; a job takes about 2 KB.
 	maxOpen = 20_000
-	// settleTime is how long an entry that starts may not know of its workers:
-	// when all processes start together, the last session is up after 0.6 s.
+	// settleTime is how long an entry that starts may not know of its workers. Where
+	// all processes started together, its last session was up after 0.2 s; slow VMs
+	// take longer.
 	settleTime = 1 * clock.Second
 )
 
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -131,10 +131,7 @@
 		return
 	}
 	if reason, retryAfter := s.refusal(now, b); reason != "" {
-		s.counters.Refused++
-		s.out = append(s.out,
-			Reply{Request: r, Result: NotStored, RetryAfter: retryAfter},
-			Decision{What: "job refused", Job: b.ID, Reason: reason, Value: int64(retryAfter)})
+		s.refuse(r, b.ID, reason, retryAfter)
 		return
 	}
 	j := newJob(now, b)
--- a/internal/scheduler/overload_test.go
+++ b/internal/scheduler/overload_test.go
@@ -175,3 +175,19 @@
 		t.Errorf("job that fits no worker, later: got %v, want %v", got, want)
 	}
 }
+
+// Room that a sidecar holds for another entry is not ordered for, and is free
+// again when the offer has ended without another report.
+func TestHeldRoomIsLeftToItsEntry(t *testing.T) {
+	b := newBed(t, 1)
+	b.send("w0", &wire.TaskReport{Held: true})
+	b.submit(job("j", 1, true))
+	if got := len(b.starts()); got != 0 {
+		t.Fatalf("starts in held room: got %d, want 0", got)
+	}
+	b.now += settings.OfferTime
+	b.tick()
+	if got, want := len(b.starts()), 1; got != want {
+		t.Errorf("starts after the offer: got %d, want %d", got, want)
+	}
+}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -18,7 +18,7 @@
 	// crowdingEnds is how long the workers must have had room until crowding is
 	// over: in overload too, single runs that end leave room for a moment.
 	crowdingEnds = 100 * clock.Millis(1)
-	// speedInterval is how old the order of the workers by speed may be.
+	// speedInterval is how old the fastest and the median slowness may be.
 	speedInterval = 50 * clock.Millis(1)
 )
 
@@ -88,14 +88,15 @@
 	}
 	if speeds {
 		for service, p := range s.pools {
-			p.order(s.fastest(service))
+			p.noteSpeeds(s.fastest(service))
 		}
 	}
 	s.noteCrowding(now)
 }
 
-// order takes the speeds of the workers.
-func (p *pool) order(fastest float64) {
+// noteSpeeds takes the slowness of the fastest worker that takes tasks, and finds
+// the median of all.
+func (p *pool) noteSpeeds(fastest float64) {
 	p.fastest, p.median = fastest, 1
 	if len(p.slows) > 0 {
 		slices.Sort(p.slows)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -1,11 +1,12 @@
-// Package scheduler decides what an entry does with stored jobs: which it
-// accepts, when their records are written, where and when their tasks run, and
-// what becomes of the jobs of a dead entry. It does no I/O and takes the time as
-// an argument.
+// Package scheduler decides what an entry does with jobs of tasks that workers
+// list: which it accepts, when their records are written, where and when their
+// tasks run, and what becomes of the jobs of a dead entry. It does no I/O and
+// takes the time as an argument.
 //
-// A job belongs to the entry that accepted it. The store holds the job until its
-// end, and each worker the runs whose ends the store does not have, so an entry
-// that takes over learns all it needs from those two.
+// A job belongs to the entry that accepted it. A best-effort job is in its memory
+// only. The store holds a stored job until its end, and each worker the runs
+// whose ends the store does not have, so an entry that takes over learns all it
+// needs from those two.
 package scheduler
 
 import (
@@ -41,7 +42,7 @@
 	Seed uint64
 }
 
-// Scheduler is the decision core of an entry for stored jobs.
+// Scheduler is the decision core of an entry for stored and best-effort jobs.
 type Scheduler struct {
 	settings Settings
 	rand     *rand.Rand
