--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -37,9 +37,10 @@
 	MaxEntries int
 	// KeepEnded is how long the end of a job is remembered.
 	KeepEnded clock.Millis
-	// AcceptTime is how long jobs are accepted after a planned stop began: the
+	// AcceptTime is how long all jobs are accepted after a planned stop began: the
 	// balancer needs some time to send callers elsewhere. DrainTimeout bounds the
-	// wait for open jobs from the same moment.
+	// wait for open jobs from the same moment; jobs that will have ended by then
+	// are accepted until callers are quiet.
 	AcceptTime   clock.Millis
 	DrainTimeout clock.Millis
 	Scheduler    scheduler.Settings
@@ -87,11 +88,13 @@
 	control   *control.Thread
 	// refuseAt and leaveBy are the times of a planned stop, 0 without one.
 	refuseAt, leaveBy clock.Millis
-	deposed           atomic.Bool
-	draining          atomic.Bool
-	node              *peer.Node
-	sidecars          *peer.Pool
-	entries           *peer.Pool
+	// drainBy is leaveBy, kept once the stop has begun.
+	drainBy  clock.Millis
+	deposed  atomic.Bool
+	draining atomic.Bool
+	node     *peer.Node
+	sidecars *peer.Pool
+	entries  *peer.Pool
 	// addresses names the address of each registered sidecar.
 	addresses sync.Map
 	requests  requests
@@ -162,6 +165,7 @@
 func (p *Process) leave(now clock.Millis) {
 	p.refuseAt = now + p.settings.AcceptTime
 	p.leaveBy = now + p.settings.DrainTimeout
+	p.drainBy = p.leaveBy
 	p.draining.Store(true)
 	p.deps.Log.Info("stopping", zap.Int("open-jobs", p.core.Open()))
 }
@@ -178,7 +182,7 @@
 		return false
 	}
 	if p.refuseAt != 0 && now >= p.refuseAt {
-		p.core.Drain()
+		p.core.Drain(p.drainBy)
 	}
 	if p.leaveBy != 0 && (now >= p.refuseAt && p.core.Open() == 0 || now >= p.leaveBy) {
 		p.leaveBy = 0
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -11,6 +11,9 @@
 	minRetry = 1 * clock.Second
 	// maxOpen bounds the jobs that an entry holds; a job takes about 2 KB.
 	maxOpen = 20_000
+	// drainFactor is the multiple of its declared time that a job is given to end
+	// before a draining entry does: as much as makes it count for its caller.
+	drainFactor = lateFactor
 	// settleTime is how long an entry that starts may not know of its workers. Where
 	// all processes started together, its last session was up after 0.2 s; slow VMs
 	// take longer.
@@ -21,7 +24,7 @@
 // again. The reason is empty for a job that is accepted.
 func (s *Scheduler) refusal(now clock.Millis, b batch.Job) (string, clock.Millis) {
 	switch {
-	case s.draining:
+	case s.drainBy != 0 && !s.endsInDrain(now, b):
 		return "draining", minRetry
 	case !b.BestEffort && s.storeFailing:
 		return "store", storeRetry
@@ -53,6 +56,16 @@
 	return "", 0
 }
 
+// endsInDrain reports whether a best-effort job will have ended when the entry
+// does, also on a slow worker and with a run that fails.
+func (s *Scheduler) endsInDrain(now clock.Millis, b batch.Job) bool {
+	var declared clock.Millis
+	for _, step := range b.Steps {
+		declared += step.Estimated
+	}
+	return b.BestEffort && now+tripTime+drainFactor*declared <= s.drainBy
+}
+
 // serving returns the room of the workers of a job's service in thousandths of
 // a core, and whether each step fits one of them.
 func (s *Scheduler) serving(b batch.Job) (float64, bool) {
--- a/internal/scheduler/overload_test.go
+++ b/internal/scheduler/overload_test.go
@@ -191,3 +191,21 @@
 		t.Errorf("starts after the offer: got %d, want %d", got, want)
 	}
 }
+
+// Found on kee-quotes-grown, inc-240c: an entry that stops refused the short jobs
+// of callers that go on sending on open connections, though they would have ended
+// long before it. A stored job and one that may take longer are refused.
+func TestDrainingEntryServesShortJobs(t *testing.T) {
+	b := newBed(t, 2)
+	b.s.Drain(b.now + 1000)
+	long := job("long", 1, true)
+	long.Steps[0].Estimated = 400
+	for j, want := range map[*batch.Job]bool{ptr(job("short", 1, true)): true, &long: false, ptr(job("stored", 1, false)): false} {
+		r := b.submit(*j)
+		if _, refused := b.replies()[r]; refused == want {
+			t.Errorf("job %s: got refused %v, want %v", j.ID, refused, !want)
+		}
+	}
+}
+
+func ptr(j batch.Job) *batch.Job { return &j }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -67,9 +67,10 @@
 	// storeFailing is true while the store refuses this entry's calls.
 	storeFailing bool
 	// peers is the number of entries that share the workers.
-	peers    int
-	pending  map[ownership.Incarnation]map[batch.Route]int64
-	draining bool
+	peers   int
+	pending map[ownership.Incarnation]map[batch.Route]int64
+	// drainBy is when an entry that drains ends, 0 for one that does not.
+	drainBy clock.Millis
 	members
 	nonce uint64
 	// noted is true if the last note to the other entries had pending jobs.
@@ -131,8 +132,8 @@
 	s.storeFailing = failing
 }
 
-// Drain makes the entry refuse new jobs.
-func (s *Scheduler) Drain() { s.draining = true }
+// Drain makes the entry refuse new jobs that may not have ended at a time.
+func (s *Scheduler) Drain(by clock.Millis) { s.drainBy = by }
 
 // mayOrder reports whether the entry may give orders for stored jobs: one that
 // has not heard from the store for long may have been deposed.
