--- a/internal/loadtest/load_test.go
+++ b/internal/loadtest/load_test.go
@@ -5,11 +5,11 @@
 	"testing"
 )
 
-// target is the share of the worth that the users ask for on heavy days.
+// targetShare is the part of the worth that the users ask for on heavy days.
 const targetShare = 0.67
 
 // pumps is the traffic of the shared pump check service: many short urgent jobs
-// of eight tasks, single-digit long ones, and pairs in between.
+// of eight tasks, a few long ones of four, and pairs in between.
 func pumps(load float64, workers []workerSpec) pattern {
 	p := pattern{
 		kinds: []kind{
--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -68,7 +68,8 @@
 	// under a higher token, also if it was only slow. The objective of the
 	// shortest kind of job leaves 100 ms for both and for a start elsewhere.
 	startTimeout = 40 * time.Millisecond
-	// stopTimeout bounds the wait for the answer to a stop, which is repeated without an answer.
+	// stopTimeout bounds the wait for the answer to a stop, which is repeated
+	// without one.
 	stopTimeout = 300 * time.Millisecond
 	// listWait is how long a listing waits for an end. Each listing renews the
 	// worker's lease, so several fit into the longest lease.
