Do not take room that is away for a moment for overload

Cause: an entry calls it overload after a second of crowding, and counts only the workers that take tasks at the moment. Change: room of workers that took tasks within the last second counts as away. If the workers would not be crowded with it, the second of crowding begins anew. Late or missing reports of a worker count in the same way. Test: TestRoomAwayForAMomentIsNoOverload fails without the change (refused, want served); room that stays away is still taken for lost. Beside heavier load it has not been run yet.

--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -63,6 +63,11 @@
 	demand   int32
 	demandAt clock.Millis
 	lookups  []batch.RunID
+	// served and servedCPU are the service and the size of the worker when it last
+	// took tasks, at servedAt.
+	served    string
+	servedCPU int64
+	servedAt  clock.Millis
 	// slow is the learned run time relative to the estimates; 1 is as declared.
 	slow float64
 	seen int
--- a/internal/scheduler/overload_test.go
+++ b/internal/scheduler/overload_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
@@ -209,3 +210,47 @@
 }
 
 func ptr(j batch.Job) *batch.Job { return &j }
+
+// Found by TestWorkerReborn beside other work: a worker that starts again and
+// again takes half of the room away for tenths of a second, and is full in
+// between. Its room is back soon, so that is no overload, and jobs that are late
+// for it are still served. Room that stays away is lost.
+func TestRoomAwayForAMomentIsNoOverload(t *testing.T) {
+	for name, test := range map[string]struct {
+		away, back clock.Millis
+		refused    bool
+	}{
+		"comes back": {away: 150, back: 150, refused: false},
+		"stays away": {away: 3000, back: 0, refused: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, 2)
+			b.advanceWithRoom(20, "w0", "w1")
+			r := b.submit(job("late", 1, true))
+			_, refused := b.replies()[r]
+			for end := b.now + 2500; b.now < end && !refused; {
+				b.advanceWithRoom(test.away, "w0")
+				b.advanceWithRoom(test.back, "w0", "w1")
+				_, refused = b.replies()[r]
+			}
+			if refused != test.refused {
+				t.Errorf("late job refused: got %v, want %v", refused, test.refused)
+			}
+		})
+	}
+}
+
+// advanceWithRoom moves the time on while some workers are full and the others
+// start again.
+func (b *bed) advanceWithRoom(d clock.Millis, full ...scheduler.Address) {
+	for end := b.now + d; b.now < end; {
+		b.now += 20
+		for a, cpu := range b.workers {
+			load := &wire.WorkerLoad{}
+			if slices.Contains(full, a) {
+				load = &wire.WorkerLoad{Cpu: cpu, MemoryMb: 1000, Ready: true, Service: "s"}
+			}
+			b.send(a, &wire.TaskReport{Load: load})
+		}
+	}
+}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -15,6 +15,10 @@
 	// sustainedCrowding is how long the workers must have been crowded until it
 	// is taken for overload: a worker that starts again is back sooner.
 	sustainedCrowding = 1 * clock.Second
+	// awayTime is how long the room of a worker that stopped taking tasks counts as
+	// away rather than lost: one that starts again, or whose reports are held up, is
+	// back sooner.
+	awayTime = 1 * clock.Second
 	// crowdingEnds is how long the workers must have had room until crowding is
 	// over: in overload too, single runs that end leave room for a moment.
 	crowdingEnds = 100 * clock.Millis(1)
@@ -26,6 +30,9 @@
 type pool struct {
 	// free and capacity are in thousandths of a core.
 	free, capacity int64
+	// away is the room of workers that took tasks less than awayTime ago and do not
+	// now, in thousandths of a core.
+	away int64
 	// fastest and median are the learned slowness of the fastest and the median
 	// worker.
 	fastest, median float64
@@ -45,6 +52,12 @@
 
 func (p *pool) crowded() bool { return p.use() > crowdedUse }
 
+// awaitsRoom reports whether the workers are crowded only because some of their
+// room is away for a moment.
+func (p *pool) awaitsRoom() bool {
+	return p.crowded() && p.away > 0 && 1-float64(p.free+p.away)/float64(p.capacity+p.away) <= crowdedUse
+}
+
 // overloaded reports whether more work comes than the workers do: they have been
 // crowded for some time while jobs waited.
 func (p *pool) overloaded(now clock.Millis) bool {
@@ -68,12 +81,19 @@
 		s.speedsAt = now + speedInterval
 	}
 	for _, p := range s.pools {
-		p.free, p.capacity = 0, 0
+		p.free, p.capacity, p.away = 0, 0, 0
 		if speeds {
 			p.slows = p.slows[:0]
 		}
 	}
 	for _, n := range s.list {
+		if !n.takesTasks(now) {
+			if n.served != "" && now-n.servedAt < awayTime {
+				s.pool(n.served).away += n.servedCPU
+			}
+		} else {
+			n.served, n.servedCPU, n.servedAt = n.load.GetService(), n.capacity.CPU, now
+		}
 		if !n.connected || n.load == nil {
 			continue
 		}
@@ -94,6 +114,12 @@
 	s.noteCrowding(now)
 }
 
+// takesTasks reports whether a worker's newest report is fresh and says that it
+// takes tasks.
+func (n *node) takesTasks(now clock.Millis) bool {
+	return n.connected && n.load.GetReady() && !n.ejected && now-n.echoAt <= freshTime
+}
+
 // noteSpeeds takes the slowness of the fastest worker that takes tasks, and finds
 // the median of all.
 func (p *pool) noteSpeeds(fastest float64) {
@@ -127,7 +153,7 @@
 			continue
 		}
 		p.crowdedAt = now
-		if p.crowdedSince == 0 {
+		if p.crowdedSince == 0 || p.awaitsRoom() {
 			p.crowdedSince = now
 		}
 	}
