Keep a late write from undoing the record of a draining worker

Cause: a sidecar writes what its worker says of itself to the store without a condition. A write whose answer is lost may be carried out seconds later, after a newer one. A sidecar that starts then took a worker that drains for one that takes tasks, until the worker's next report up to 1.5 s later: a server that had left was in use again after a restart. Change: each write names the revision that it replaces, so a late one fails. Test: TestLateWriteDoesNotReviveADrainingWorker fails without the change.

--- a/internal/sidecarnode/remember.go
+++ b/internal/sidecarnode/remember.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/teaseltide/teaseltide/internal/executor"
@@ -31,11 +32,13 @@
 // what the worker says of itself. Reports come every 1.5 s; without the record,
 // a sidecar that starts anew takes no task until the next one.
 func (p *Process) keepWorker(ctx context.Context) {
+	var revision platform.Revision
 	p.retry(ctx, "read worker", func(ctx context.Context) error {
 		kv, err := p.deps.Store.Get(ctx, p.workerKey())
 		if err != nil || kv.ModRevision == 0 {
 			return err
 		}
+		revision = kv.ModRevision
 		var w executor.Worker
 		if err = json.Unmarshal(kv.Value, &w); err != nil {
 			p.deps.Log.Warn("record of the worker", zap.Error(err))
@@ -55,9 +58,32 @@
 				continue
 			}
 			p.retry(ctx, "keep worker", func(ctx context.Context) error {
-				_, err := p.deps.Store.Txn(ctx, platform.Txn{Puts: []platform.Put{{Key: p.workerKey(), Value: value}}})
-				return err
+				return p.writeWorker(ctx, value, &revision)
 			})
 		}
 	}
 }
+
+// errRecordChanged tells that the record of the worker had another revision, for
+// example that of an earlier write whose answer was lost.
+var errRecordChanged = errors.New("the record of the worker has changed")
+
+// writeWorker replaces the record of the worker if it has a revision, which is
+// set to the new one. Without the condition, an earlier write whose answer was
+// lost could be carried out after this one and undo it.
+func (p *Process) writeWorker(ctx context.Context, value []byte, revision *platform.Revision) error {
+	result, err := p.deps.Store.Txn(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: p.workerKey(), Revision: *revision}},
+		Puts:       []platform.Put{{Key: p.workerKey(), Value: value}},
+	})
+	switch {
+	case err != nil:
+		return err
+	case result.Succeeded:
+		*revision = result.Revision
+		return nil
+	case len(result.Current) > 0:
+		*revision = result.Current[0].ModRevision
+	}
+	return errRecordChanged
+}
