Forget jobs that are given up while their orders come back without a start

Cause: an order that comes back without a start made its task wait again, but nobody looked at its job. A job that was given up meanwhile stayed open for good: a resubmission under its id waited behind it until its caller left, and an entry that stops waited for it until its grace period was nearly over. Found by a test for the pattern of refusals that are not true. Test: TestJobGivenUpBeforeItsStartIsForgotten; before: one open job and no start of the resubmission, after: none and one.

--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -111,6 +111,7 @@
 		if t.state == taskBound && t.attempt == id.Attempt && t.node == n.address {
 			s.counters.NotStarted++
 			s.unbind(j, t)
+			s.advance(now, j)
 		}
 	}
 }
