Do not say not run of a job that ran before it came again

Cause: an entry forgot a best-effort job that it had given up after a start. When its caller, who had lost the answer, submitted it again and it was refused, the answer said that it had not run. By the platform's protocol callers may then do the work anew. Change: for 10 s an entry remembers the ids of jobs that it gave up after a start. Test: TestRefusalOfAJobThatRanBefore; not-stored before, unknown after. Another entry that gets the resubmission does not know; best-effort jobs are in the memory of one entry.

--- a/internal/scheduler/besteffort.go
+++ b/internal/scheduler/besteffort.go
@@ -31,21 +31,29 @@
 		s.out = append(s.out, Reply{Request: r, Result: Ended, State: e.state})
 		return
 	}
+	_, ranBefore := s.ran[b.ID]
 	if reason, retryAfter := s.refusal(now, b); reason != "" {
-		s.refuse(r, b.ID, reason, retryAfter)
+		s.refuse(r, b.ID, reason, retryAfter, ranBefore)
 		return
 	}
 	s.counters.Accepted++
 	j = newJob(now, b)
+	j.ranBefore = ranBefore
 	j.submitters = []Request{r}
 	s.jobs[b.ID] = j
 	s.enqueue(j)
 }
 
-func (s *Scheduler) refuse(r Request, id batch.JobID, reason string, retryAfter clock.Millis) {
+// refuse answers that a job is not taken. Of one that ran here before, it cannot
+// be said that it has not run.
+func (s *Scheduler) refuse(r Request, id batch.JobID, reason string, retryAfter clock.Millis, ranBefore bool) {
 	s.counters.Refused++
+	result := NotStored
+	if ranBefore {
+		result = Unknown
+	}
 	s.out = append(s.out,
-		Reply{Request: r, Result: NotStored, RetryAfter: retryAfter},
+		Reply{Request: r, Result: result, RetryAfter: retryAfter},
 		Decision{What: "job refused", Job: id, Reason: reason, Value: int64(retryAfter)})
 }
 
@@ -100,7 +108,7 @@
 // start is not stored and never runs; of another one nothing can be said.
 func (s *Scheduler) answerRefused(j *job) {
 	result := NotStored
-	if j.mayHaveRun() {
+	if j.ranBefore || j.mayHaveRun() {
 		result = Unknown
 	}
 	for _, r := range j.refused {
@@ -173,6 +181,9 @@
 // submitted again meanwhile.
 func (s *Scheduler) drop(now clock.Millis, j *job) {
 	s.forget(j)
+	if _, ended := s.ended[j.ID]; !ended && (j.ranBefore || j.ran()) {
+		s.ran[j.ID] = now
+	}
 	if j.again == nil {
 		return
 	}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -47,6 +47,8 @@
 	queued  bool
 	// stage is what can still be reached, as of the last look.
 	stage stage
+	// ranBefore is true for a best-effort job of which an earlier submission ran.
+	ranBefore bool
 	// finishing is true for a late job with a start.
 	finishing bool
 	// baseAttempt is added to the number of each attempt, so that attempts grow
@@ -131,7 +133,7 @@
 		return
 	}
 	if reason, retryAfter := s.refusal(now, b); reason != "" {
-		s.refuse(r, b.ID, reason, retryAfter)
+		s.refuse(r, b.ID, reason, retryAfter, false)
 		return
 	}
 	j := newJob(now, b)
--- a/internal/scheduler/resubmission_test.go
+++ b/internal/scheduler/resubmission_test.go
@@ -8,6 +8,41 @@
 	"github.com/teaseltide/teaseltide/pkg/clock"
 )
 
+// Pattern: after an answer was lost, the caller was told that work had not run
+// that had. A job that ran here and was given up comes again; "not run" must not
+// be said of it, whether it is refused on arrival or given up again.
+func TestRefusalOfAJobThatRanBefore(t *testing.T) {
+	for name, test := range map[string]struct {
+		ran  bool
+		want scheduler.Result
+	}{
+		"ran":     {true, scheduler.Unknown},
+		"had not": {false, scheduler.NotStored},
+	} {
+		t.Run(name+", refused on arrival", func(t *testing.T) {
+			b := newBed(t, 1)
+			b.giveUpOnce(test.ran)
+			b.s.Drain(b.now)
+			again := b.submit(job("j", 1, true))
+			if got := b.replies()[again].Result; got != test.want {
+				t.Errorf("result: got %v, want %v", got, test.want)
+			}
+		})
+		t.Run(name+", given up again", func(t *testing.T) {
+			b := newBed(t, 1)
+			b.giveUpOnce(test.ran)
+			b.advanceBusy(20)
+			j := job("j", 1, true)
+			j.Deadline = b.now + 100
+			again := b.submit(j)
+			b.advanceBusy(200)
+			if got := b.replies()[again].Result; got != test.want {
+				t.Errorf("result: got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 // A job is given up while its order is on the way, and the order comes back
 // without a start. Nothing is left of it then: a resubmission is served, and an
 // entry that stops does not wait for it.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -52,7 +52,9 @@
 	ended map[batch.JobID]endedJob
 	// endedOrder holds the ended jobs from the oldest on.
 	endedOrder []batch.JobID
-	nodes      map[Address]*node
+	// ran holds when best-effort jobs were given up of which tasks had started.
+	ran   map[batch.JobID]clock.Millis
+	nodes map[Address]*node
 	// list holds the nodes in the order in which they were first seen, so that
 	// the same events lead to the same choices.
 	list     []*node
@@ -106,6 +108,7 @@
 		rand:       rand.New(rand.NewPCG(s.Seed, s.Seed)), //nolint:gosec // spreads load, nothing secret
 		jobs:       make(map[batch.JobID]*job),
 		ended:      make(map[batch.JobID]endedJob),
+		ran:        make(map[batch.JobID]clock.Millis),
 		nodes:      make(map[Address]*node),
 		sessions:   make(map[ownership.Incarnation]*node),
 		successors: make(ownership.Successors),
@@ -163,8 +166,8 @@
 	return out
 }
 
-// keepBestEffort is how long the end of a best-effort job is remembered for a
-// caller that lost the answer and submits it again.
+// keepBestEffort is how long the end of a best-effort job, or that it ran and was
+// given up, is remembered for a caller that lost the answer and submits it again.
 const keepBestEffort = 10 * clock.Second
 
 // sweepInterval is the resolution of what is not urgent.
@@ -186,6 +189,11 @@
 		delete(s.ended, id)
 		s.endedOrder = s.endedOrder[1:]
 	}
+	for id, at := range s.ran {
+		if now-at >= keepBestEffort {
+			delete(s.ran, id)
+		}
+	}
 	if own := s.ownPending(); len(own) > 0 || s.noted {
 		s.noted = len(own) > 0
 		s.out = append(s.out, Note{Note: &wire.EntryNote{Pending: own}})
