Follow forty workers closely and send grants only for what a sidecar holds

Cause: each sidecar reported to each entry every 100 to 150 ms, and each entry answered each report with a grant. At 35 entries and 160 workers that is 2,000 to 3,000 messages a second at an entry for 36 jobs; 5,600 sessions carry messages that nobody needs. Change: an entry follows 40 workers of a service closely, 30 of them in its own failure domain, chosen by rendezvous hashing. The others report every 450 ms unless the entry has a run there or waits for room; they are used where the followed ones are busier, and a few of them in turn are asked for room. Grants go where the entry has runs or stored jobs. The start of a best-effort run is told with the next report. A session with a sidecar counts as outstanding from its begin, since no grant may follow. An heir that had no grants keeps the runs that it inherits. Weighed: reports by the sidecars of a domain through one of them (one more process on the path), a fixed subset for each entry (cannot use the rest under uneven load), longer intervals for all (stale loads on small fleets too).

--- a/internal/entrynode/sessions.go
+++ b/internal/entrynode/sessions.go
@@ -3,6 +3,7 @@
 import (
 	"go.uber.org/zap"
 
+	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/peer"
 	"github.com/teaseltide/teaseltide/internal/scheduler"
 	"github.com/teaseltide/teaseltide/internal/wire"
@@ -27,7 +28,7 @@
 var _ peer.Handler = handler{}
 
 // Connected implements peer.Handler.
-func (h handler) Connected(s *peer.Session, _ *wire.Hello) error {
+func (h handler) Connected(s *peer.Session, hello *wire.Hello) error {
 	h.p.push(func(clock.Millis) {
 		if h.role == entryPeer {
 			h.p.entrySessions[s.Peer()] = s
@@ -38,7 +39,9 @@
 			return
 		}
 		h.p.sidecarSessions[s.Peer()] = s
-		h.p.core.SidecarConnected(address.(scheduler.Address), s.Peer())
+		// Reports are due from now on, also if no orders are sent.
+		s.SetOutstanding(true)
+		h.p.core.SidecarConnected(address.(scheduler.Address), ownership.Domain(hello.GetDomain()), s.Peer())
 	})
 	return nil
 }
@@ -86,7 +89,6 @@
 	if s == nil {
 		return
 	}
-	s.SetOutstanding(true)
 	if err := s.Send(wire.Wrap(c.Orders)); err != nil {
 		p.deps.Log.Warn("session ended", zap.String("peer", string(c.Sidecar)), zap.Error(err))
 		s.Close()
--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -12,6 +12,7 @@
 	e := x.entry(id)
 	e.connected = true
 	e.inventory = true
+	e.loose = false
 	e.events = nil
 	e.deposed = x.successors[id] != ""
 	e.received = 0
@@ -61,10 +62,10 @@
 			delete(x.runs, r.id.TaskID)
 		}
 	}
-	if _, ok := x.entries[heir]; !ok {
-		x.entry(heir).grantedFrom = now
-		x.entry(heir).storedFrom = now
-	}
+	// An heir that had nothing here has sent no grants lately.
+	e := x.entry(heir)
+	e.grantedFrom = max(e.grantedFrom, now)
+	e.storedFrom = max(e.storedFrom, now)
 }
 
 // Orders takes the orders of an entry.
@@ -84,6 +85,7 @@
 	if !o.GetStoredWithheld() {
 		e.storedFrom = e.grantedFrom
 	}
+	e.loose = o.GetLoose()
 	x.noteDemand(now, from, e, o)
 	for _, s := range o.GetAdopts() {
 		x.adopt(from, s)
@@ -194,6 +196,8 @@
 		return
 	}
 	e.events = append(e.events, &wire.TaskEvent{Run: r.id.Wire(), State: state, RunMs: int64(r.runTime), BestEffort: r.bestEffort})
+	// Nothing waits for the start of a best-effort run.
+	e.urgent = e.urgent || state != wire.TaskEvent_STATE_RUNNING || !r.bestEffort
 }
 
 // Leave makes the sidecar return what has not started and take nothing more.
@@ -204,23 +208,48 @@
 
 // report sends each entry what it has to know.
 func (x *Executor) report(now clock.Millis) {
+	x.countRuns()
 	for id, e := range x.entries {
 		if !e.connected {
-			if now > e.grantedFrom+clock.Minute {
+			if now > max(e.grantedFrom, e.sentAt)+clock.Minute {
 				delete(x.entries, id)
 			}
 			continue
 		}
 		offered := x.offer.entry == id && x.offer.at == 0
-		urgent := offered || e.sentReady != x.ready() || len(e.events) > 0 || (len(e.fenced) > 0 || e.inventory) && x.listed
-		load := e.sentLoad != x.loadSerial && now-e.sentAt >= loadInterval
-		if !urgent && !load && now-e.sentAt < reportInterval {
+		urgent := offered || e.sentReady != x.ready() || e.urgent || (len(e.fenced) > 0 || e.inventory) && x.listed
+		if !urgent && now-e.sentAt < x.reportPause(e) {
 			continue
 		}
 		x.out = append(x.out, Report{Entry: id, Report: x.reportFor(now, id, e)})
 	}
 }
 
+// countRuns counts the runs of each entry.
+func (x *Executor) countRuns() {
+	for _, e := range x.entries {
+		e.runs = 0
+	}
+	for _, r := range x.runs {
+		if e := x.entries[r.owner]; e != nil {
+			e.runs++
+		}
+	}
+}
+
+// reportPause is the time between two reports to an entry that has nothing urgent
+// to hear. Most entries of a large fleet have no run at a worker and seldom place
+// a task there, so their reports must be few.
+func (x *Executor) reportPause(e *entry) clock.Millis {
+	switch {
+	case e.loose && e.runs == 0 && e.urgency == 0:
+		return LooseInterval
+	case !e.loose && e.sentLoad != x.loadSerial:
+		return loadInterval
+	}
+	return reportInterval
+}
+
 func (x *Executor) reportFor(now clock.Millis, id ownership.Incarnation, e *entry) *wire.TaskReport {
 	report := &wire.TaskReport{
 		SentAt: int64(now), Events: e.events, Load: x.load(), Deposed: e.deposed,
@@ -239,7 +268,7 @@
 		report.Events = x.inventory(id)
 		e.inventory = false
 	}
-	e.events = nil
+	e.events, e.urgent = nil, false
 	e.sentAt = now
 	e.sentLoad = x.loadSerial
 	e.sentReady = report.GetLoad().GetReady()
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -44,6 +44,10 @@
 	// changed load. Entries that wait for room get offers besides, and every
 	// entry hears of every worker.
 	loadInterval = 100 * clock.Millis(1)
+	// LooseInterval is the longest time between two reports to an entry that
+	// follows the worker loosely. It is shorter than the silence after which an
+	// entry sends Ping.
+	LooseInterval = 450 * clock.Millis(1)
 	// minStall is how long a run may make no progress before it is stopped: two
 	// listings of a worker on which nothing ends. A long run gets stallShare of
 	// its declared time, in which it makes some percent of progress also on a
@@ -138,9 +142,11 @@
 	// inventory is true if the next report has to list all runs.
 	inventory bool
 	events    []*wire.TaskEvent
-	fenced    []string
-	deposed   bool
-	sentAt    clock.Millis
+	// urgent is true if an event must not wait for the next report.
+	urgent  bool
+	fenced  []string
+	deposed bool
+	sentAt  clock.Millis
 	// received is the sequence of the last orders of the session.
 	received int64
 	demand
@@ -148,6 +154,10 @@
 	// the worker took tasks by it.
 	sentLoad  int64
 	sentReady bool
+	// loose is true if the entry follows this worker loosely.
+	loose bool
+	// runs is the number of runs of the entry here, as of the last report.
+	runs int
 }
 
 // Executor is the decision core of a sidecar.
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -303,6 +303,7 @@
 	x.attempts[id.TaskID] = attempt{number: id.Attempt, at: now}
 	for _, e := range x.entries {
 		e.events = append(e.events, &wire.TaskEvent{Run: id.Wire(), State: wire.TaskEvent_STATE_RUNNING})
+		e.urgent = true
 	}
 	return r
 }
--- a/internal/loadtest/fleet_test.go
+++ b/internal/loadtest/fleet_test.go
@@ -50,6 +50,7 @@
 	speed float64
 	// failing is true for a worker that fails all that it starts.
 	failing bool
+	domain  ownership.Domain
 }
 
 // pattern is a load on a fleet.
@@ -58,6 +59,8 @@
 	workers []workerSpec
 	// entries holds the share of the callers that each entry has.
 	entries []float64
+	// domains holds the failure domain of each entry, nil if there is one only.
+	domains []ownership.Domain
 	// length is how long jobs come; those of the first warmUp do not count.
 	length, warmUp clock.Millis
 	// patience is how long callers wait.
@@ -68,8 +71,14 @@
 	// burst is how many times the jobs come between burstFrom and burstTill.
 	burst                float64
 	burstFrom, burstTill clock.Millis
+	// away is how long all entries are away from the begin on; callers without an
+	// answer come again after resubmitPause.
+	away clock.Millis
 }
 
+// resubmitPause is the time after which a caller that got no answer comes again.
+const resubmitPause = 1300 * clock.Millis(1)
+
 const (
 	slack     = 1.6
 	target    = 60 * clock.Millis(1)
@@ -122,8 +131,10 @@
 	// was told that they did not run.
 	started map[batch.JobID]bool
 	refused map[batch.JobID]bool
-	// messages counts those between entries and sidecars.
-	messages int
+	// messages counts those between entries and sidecars while jobs come, until
+	// ends.
+	messages    int
+	began, ends clock.Millis
 	// submitted, if not nil, takes the jobs instead of the entries.
 	submitted func(s *submission, tasks []float64)
 }
@@ -178,8 +189,12 @@
 		live = append(live, ownership.Incarnation(fmt.Sprintf("entry-%d", i)))
 	}
 	for i, id := range live {
+		var domain ownership.Domain
+		if len(p.domains) > 0 {
+			domain = p.domains[i]
+		}
 		e := &entry{id: id, waiting: make(map[scheduler.Request]*submission), core: scheduler.New(scheduler.Settings{
-			Self: id, GrantTime: 6 * clock.Second, BestEffortGrant: 1100, SilentOwner: 8 * clock.Second, OfferTime: executor.OfferTime, KeepEnded: clock.Minute, Seed: p.seed + uint64(i),
+			Self: id, Domain: domain, GrantTime: 6 * clock.Second, BestEffortGrant: 1100, SilentOwner: 8 * clock.Second, OfferTime: executor.OfferTime, LooseInterval: executor.LooseInterval, KeepEnded: clock.Minute, Seed: p.seed + uint64(i),
 		})}
 		e.core.Entries(live)
 		f.entries = append(f.entries, e)
@@ -203,7 +218,7 @@
 	c.core.Fences(f.now, nil)
 	for j, id := range live {
 		c.core.Connected(id)
-		f.entries[j].core.SidecarConnected(c.address, c.id)
+		f.entries[j].core.SidecarConnected(c.address, c.spec.domain, c.id)
 	}
 	f.every(sidecarTick, func() { c.dirty = true })
 	f.list(c)
@@ -224,6 +239,7 @@
 // run plays the pattern and some time more, in which the last jobs end.
 func (f *fleet) run() {
 	begin := f.now
+	f.began, f.ends = begin, begin+f.length
 	for i := range f.kinds {
 		f.arrive(&f.kinds[i], begin)
 	}
@@ -240,7 +256,7 @@
 // tick lets the cores act that had an event.
 func (f *fleet) tick() {
 	for _, e := range f.entries {
-		if !e.dirty {
+		if !e.dirty || f.now < f.began+f.away {
 			continue
 		}
 		e.dirty = false
@@ -320,7 +336,11 @@
 	e := f.entries[at]
 	request := scheduler.Request(f.jobs)
 	e.waiting[request] = s
-	f.at(callerTrip/2, func() {
+	delay := callerTrip / 2
+	for f.now+delay < f.began+f.away {
+		delay += resubmitPause
+	}
+	f.at(delay, func() {
 		e.core.Submit(f.now, request, job)
 		e.dirty = true
 	})
@@ -329,7 +349,7 @@
 func (f *fleet) entryCommand(e *entry, c scheduler.Command) {
 	switch c := c.(type) {
 	case scheduler.SendOrders:
-		f.messages++
+		f.countMessage()
 		for _, s := range f.sidecars {
 			if s.id == c.Sidecar {
 				f.at(linkDelay, func() {
@@ -390,7 +410,7 @@
 			}
 		})
 	case executor.Report:
-		f.messages++
+		f.countMessage()
 		for _, e := range f.entries {
 			if e.id == command.Entry {
 				f.at(linkDelay, func() {
@@ -478,8 +498,16 @@
 	return got / owed
 }
 
+func (f *fleet) countMessage() {
+	if f.now < f.ends {
+		f.messages++
+	}
+}
+
+func (f *fleet) messagesPerJob() float64 { return float64(f.messages) / float64(f.jobs) }
+
 func (f *fleet) String() string {
-	s := fmt.Sprintf("share %.3f, %.1f messages a job", f.share(), float64(f.messages)/float64(f.jobs))
+	s := fmt.Sprintf("share %.3f, %.1f messages a job", f.share(), f.messagesPerJob())
 	for _, k := range f.kinds {
 		o := f.outcomes[k.name]
 		s += fmt.Sprintf("\n%-14s asked %5d in time %5d late %5d too late %5d refused %5d failed %4d", k.name, o.asked, o.inTime, o.late, o.tooLate, o.refused, o.failed)
--- a/internal/loadtest/load_test.go
+++ b/internal/loadtest/load_test.go
@@ -19,11 +19,17 @@
 		},
 		workers: workers, entries: []float64{.29, .23, .26, .22}, length: 23_000, warmUp: 3000, patience: 1500, seed: 1, declaredOff: 0.4,
 	}
+	p.scale(load)
+	return p
+}
+
+// scale sets the rates of the jobs to a share of what the workers do.
+func (p *pattern) scale(load float64) {
 	var comes, does float64
 	for _, k := range p.kinds {
 		comes += k.perS * k.width * k.work.Duration().Seconds() * float64(k.cpu)
 	}
-	for _, w := range workers {
+	for _, w := range p.workers {
 		if !w.failing {
 			does += float64(w.cpu) * w.speed
 		}
@@ -31,7 +37,6 @@
 	for i := range p.kinds {
 		p.kinds[i].perS *= load * does / comes
 	}
-	return p
 }
 
 // mixed are workers of the speeds of the users' deployment: one of four is less
@@ -161,4 +166,24 @@
 	}
 }
 
+// Pattern: all processes end at once and are away for 1.6 s. Callers without an
+// answer come again 1.3 s after they first sent their jobs, and all of them meet
+// those who come for the first time. Most of the former are too late to count,
+// so the others go before them.
+func TestCallersComeAgainAfterAnOutage(t *testing.T) {
+	p := pumps(0.68, mixed())
+	p.away, p.warmUp, p.length = 1600, 1600, 3600
+	f := newFleet(p)
+	f.run()
+	t.Log(f)
+	if got := f.share(); got < targetShare {
+		t.Errorf("share of the worth of those who came in the 2 s after it: got %.3f, want %.2f or more", got, targetShare)
+	}
+	for id := range f.refused {
+		if f.started[id] {
+			t.Errorf("job %s was refused as not run, but a task of it started", id)
+		}
+	}
+}
+
 func (o *outcome) inTimeShare() float64 { return float64(o.inTime) / math.Max(1, float64(o.asked)) }
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -25,6 +25,9 @@
 // demandFor returns what waits for a worker: the most urgent task that would
 // start there.
 func (s *Scheduler) demandFor(now clock.Millis, n *node) demand {
+	if n.loose && !n.asked {
+		return demand{}
+	}
 	stored := s.mayOrder(now)
 	for i, j := range s.queue {
 		if i >= demandScan {
--- /dev/null
+++ b/internal/scheduler/follow_test.go
@@ -0,0 +1,147 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/teaseltide/teaseltide/internal/ownership"
+	"github.com/teaseltide/teaseltide/internal/scheduler"
+	"github.com/teaseltide/teaseltide/internal/wire"
+	"github.com/teaseltide/teaseltide/pkg/clock"
+)
+
+// newFleetBed returns a bed with workers spread over four domains; the entry is in
+// the first.
+func newFleetBed(t *testing.T, workers int) *bed {
+	t.Helper()
+	home := settings
+	home.Domain = "domain-0"
+	b := &bed{
+		t: t, s: scheduler.New(home), now: 1_000_000,
+		received: make(map[scheduler.Address]int64), workers: make(map[scheduler.Address]int64), sent: make(map[scheduler.Address][]*wire.TaskOrders),
+	}
+	b.s.Contact(b.now)
+	b.s.Entries([]ownership.Incarnation{self})
+	b.tick()
+	for i := range workers {
+		a := address(i)
+		b.workers[a] = 20_000
+		b.s.SidecarConnected(a, domainOf(i), sidecar(a))
+		b.inventory(a)
+	}
+	b.advance(300)
+	return b
+}
+
+func domainOf(i int) ownership.Domain { return ownership.Domain(fmt.Sprintf("domain-%d", i%4)) }
+
+// loose returns the workers that the entry follows loosely, by its orders so far.
+func (b *bed) loose() map[scheduler.Address]bool {
+	out := make(map[scheduler.Address]bool)
+	for a, all := range b.sent {
+		for _, o := range all {
+			out[a] = o.GetLoose()
+		}
+	}
+	return out
+}
+
+func count(set map[scheduler.Address]bool) int {
+	n := 0
+	for _, in := range set {
+		if in {
+			n++
+		}
+	}
+	return n
+}
+
+// Pattern: 160 workers. An entry follows 40 of them closely, three quarters of
+// these in its own failure domain, and when a worker goes, one other takes its
+// place.
+func TestEntryFollowsSomeWorkersClosely(t *testing.T) {
+	b := newFleetBed(t, 160)
+	before := b.loose()
+	if got, want := count(before), 120; got != want {
+		t.Fatalf("loosely followed workers: got %d, want %d", got, want)
+	}
+	home := 0
+	for i := range 160 {
+		if !before[address(i)] && domainOf(i) == "domain-0" {
+			home++
+		}
+	}
+	if got, want := home, 30; got < want {
+		t.Errorf("closely followed workers in the entry's domain: got %d, want %d or more", got, want)
+	}
+	var gone scheduler.Address
+	for i := range 160 {
+		if !before[address(i)] {
+			gone = address(i)
+		}
+	}
+	b.s.SidecarDisconnected(sidecar(gone))
+	delete(b.workers, gone)
+	b.advance(300)
+	changed := 0
+	for a, loose := range b.loose() {
+		if a != gone && loose != before[a] {
+			changed++
+		}
+	}
+	if got, want := changed, 1; got != want {
+		t.Errorf("workers that are followed differently after one has gone: got %d, want %d", got, want)
+	}
+}
+
+// Pattern: a small fleet. All workers are followed closely.
+func TestSmallFleetIsFollowedClosely(t *testing.T) {
+	b := newFleetBed(t, 12)
+	if got := count(b.loose()); got != 0 {
+		t.Errorf("loosely followed workers: got %d of 12, want 0", got)
+	}
+}
+
+// Pattern: the callers of one failure domain are more than its workers are for.
+// Workers that are followed loosely are used too.
+func TestRoomOfLooselyFollowedWorkersIsUsed(t *testing.T) {
+	b := newFleetBed(t, 160)
+	loose := b.loose()
+	used := 0
+	for i := range 40 {
+		b.submit(job(fmt.Sprintf("j%d", i), 6, true))
+		for _, s := range b.starts() {
+			if loose[s.at] {
+				used++
+			}
+		}
+	}
+	if used < 40 {
+		t.Errorf("starts at loosely followed workers: got %d of 240 where the others have room for 120, want 40 or more", used)
+	}
+}
+
+// Grants are for what a sidecar holds of the entry. Sent for nothing, they were
+// half of all messages of a large fleet.
+func TestIdleSidecarGetsNoGrants(t *testing.T) {
+	b := newBed(t, 2)
+	b.submit(job("j", 1, true))
+	starts := b.starts()
+	if len(starts) != 1 {
+		t.Fatalf("starts: got %d, want 1", len(starts))
+	}
+	b.advance(clock.Second)
+	for a, all := range b.sent {
+		if got := len(all); (a == starts[0].at) != (got >= 5) {
+			t.Errorf("orders to %s in a second: got %d, want 5 or more only where the run is", a, got)
+		}
+	}
+	b.sent = make(map[scheduler.Address][]*wire.TaskOrders)
+	b.submit(job("stored", 1, false))
+	b.advance(clock.Second)
+	for a := range b.workers {
+		if got := len(b.sent[a]); got < 5 {
+			t.Errorf("orders to %s in a second while a stored job is open: got %d, want 5 or more", a, got)
+		}
+	}
+}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -25,7 +25,9 @@
 type job struct {
 	batch.Job
 	acceptedAt clock.Millis
-	revision   int64
+	// sentAt is when the caller first sent the job, as far as that is known.
+	sentAt   clock.Millis
+	revision int64
 	// nonce is that of the open record, nextNonce of the write on its way.
 	nonce     string
 	nextNonce string
@@ -76,7 +78,7 @@
 }
 
 func newJob(now clock.Millis, b batch.Job) *job {
-	j := &job{Job: b, acceptedAt: now}
+	j := &job{Job: b, acceptedAt: now, sentAt: now}
 	for i, step := range b.Steps {
 		j.first = append(j.first, len(j.tasks))
 		j.left = append(j.left, step.Count)
@@ -88,7 +90,7 @@
 }
 
 // dueAt is when the job should be complete.
-func (j *job) dueAt() clock.Millis { return j.acceptedAt + j.Objective }
+func (j *job) dueAt() clock.Millis { return j.sentAt + j.Objective }
 
 func (j *job) taskOf(id batch.TaskID) *task {
 	if id.Occurrence != 0 || int(id.Step) >= len(j.Steps) || int(id.Index) >= j.Steps[id.Step].Count {
@@ -140,6 +142,7 @@
 	j.submitters = []Request{r}
 	j.saving = savingNew
 	s.jobs[b.ID] = j
+	s.stored++
 	s.out = append(s.out, Save{Kind: SaveNew, ID: b.ID, Job: s.record(j)})
 }
 
@@ -264,6 +267,9 @@
 	j.cancellers = nil
 	s.unqueue(j)
 	delete(s.jobs, j.ID)
+	if !j.BestEffort {
+		s.stored--
+	}
 }
 
 // Cancel takes a cancellation.
@@ -345,7 +351,10 @@
 }
 
 // EntryGone takes the end of the session with another entry.
-func (s *Scheduler) EntryGone(id ownership.Incarnation) { delete(s.pending, id) }
+func (s *Scheduler) EntryGone(id ownership.Incarnation) {
+	delete(s.pending, id)
+	s.disturbedAt = s.now
+}
 
 // advance decides what a job does next: it ends, or its tasks wait for workers.
 func (s *Scheduler) advance(now clock.Millis, j *job) {
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -68,6 +68,14 @@
 	served    string
 	servedCPU int64
 	servedAt  clock.Millis
+	domain    ownership.Domain
+	// rank orders the workers that the entry follows.
+	rank uint64
+	// loose is true if the worker is followed loosely, looseSent is what its sidecar
+	// was last told.
+	loose, looseSent bool
+	// asked is true for a loosely followed worker that is asked for room.
+	asked bool
 	// slow is the learned run time relative to the estimates; 1 is as declared.
 	slow float64
 	seen int
@@ -107,11 +115,13 @@
 	n.slow += (ratio - n.slow) * weight
 }
 
-// SidecarConnected takes a new session with the sidecar at an address.
-func (s *Scheduler) SidecarConnected(address Address, id ownership.Incarnation) {
+// SidecarConnected takes a new session with the sidecar at an address in a failure
+// domain.
+func (s *Scheduler) SidecarConnected(address Address, domain ownership.Domain, id ownership.Incarnation) {
 	n := s.nodes[address]
 	if n == nil {
 		n = newNode(address)
+		n.rank = rankOf(s.settings.Self, address)
 		s.nodes[address] = n
 		s.list = append(s.list, n)
 	}
@@ -119,7 +129,10 @@
 		delete(s.sessions, n.incarnation)
 	}
 	n.incarnation = id
+	n.domain = domain
+	n.looseSent = false
 	n.connected = true
+	s.refollow.due = true
 	n.reported = false
 	n.sequence = 0
 	n.echo = 0
@@ -144,6 +157,7 @@
 		return
 	}
 	delete(s.sessions, id)
+	s.refollow.due = true
 	n.connected = false
 	n.reported = false
 	n.pending = nil
@@ -241,16 +255,26 @@
 // grantInterval is the longest time that a report waits for its grant.
 const grantInterval = 80 * clock.Millis(1)
 
+// needsGrant reports whether a sidecar may hold something of this entry that ends
+// without a grant: runs, and ends of stored jobs.
+func (s *Scheduler) needsGrant(n *node) bool {
+	return len(n.runs) > 0 || s.stored > 0
+}
+
 // flush sends what has been ordered, with a grant for the newest report.
 func (s *Scheduler) flush(now clock.Millis) {
 	withheld := !s.mayOrder(now)
+	if len(s.queue) > 0 {
+		s.chooseAsked(now)
+	}
 	for _, n := range s.list {
 		if !n.connected {
 			n.pending = nil
 			continue
 		}
 		w := s.demandFor(now, n)
-		due := n.echo != n.echoSent && n.echo != 0 && (n.offered || now-n.echoSentAt >= grantInterval)
+		due := n.loose != n.looseSent ||
+			n.echo != n.echoSent && n.echo != 0 && (n.offered || s.needsGrant(n) && now-n.echoSentAt >= grantInterval)
 		more := w.urgency != 0 && (n.demand == 0 || w.urgency < n.demand) && now-n.demandAt >= demandInterval
 		if n.pending == nil && !due && !more {
 			continue
@@ -262,6 +286,8 @@
 		orders.GrantedFrom = n.echo
 		orders.StoredWithheld = withheld
 		orders.Demand, orders.DemandCpu = w.urgency, w.cpu
+		orders.Loose = n.loose
+		n.looseSent = n.loose
 		if n.demand != w.urgency {
 			n.demand, n.demandAt = w.urgency, now
 		}
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -97,7 +97,12 @@
 		if slices.Contains(t.failedOn, n.address) && s.elsewhere(j, t, n) {
 			continue
 		}
-		cost := n.cost(step) * (1 + noise*s.rand.Float64())
+		cost := n.cost(step)
+		if n.loose {
+			cost *= looseCost * (1 + looseNoise*s.rand.Float64())
+		} else {
+			cost *= 1 + noise*s.rand.Float64()
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = n, cost
 		}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -87,7 +87,7 @@
 		}
 	}
 	for _, n := range s.list {
-		if !n.takesTasks(now) {
+		if !s.takesTasks(now, n) {
 			if n.served != "" && now-n.servedAt < awayTime {
 				s.pool(n.served).away += n.servedCPU
 			}
@@ -114,10 +114,9 @@
 	s.noteCrowding(now)
 }
 
-// takesTasks reports whether a worker's newest report is fresh and says that it
-// takes tasks.
-func (n *node) takesTasks(now clock.Millis) bool {
-	return n.connected && n.load.GetReady() && !n.ejected && now-n.echoAt <= freshTime
+// takesTasks reports whether a worker reports that it takes tasks.
+func (s *Scheduler) takesTasks(now clock.Millis, n *node) bool {
+	return n.connected && n.load.GetReady() && !n.ejected && !s.isSilent(now, n)
 }
 
 // noteSpeeds takes the slowness of the fastest worker that takes tasks, and finds
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -24,6 +24,8 @@
 // Settings of a Scheduler.
 type Settings struct {
 	Self ownership.Incarnation
+	// Domain is the failure domain of the entry.
+	Domain ownership.Domain
 	// GrantTime is how long a sidecar keeps the runs of an entry after the
 	// entry's last grant, with the longest lease of a worker and the drift of
 	// its clock.
@@ -36,6 +38,9 @@
 	// OfferTime is how long a sidecar holds free room for the entry that it was
 	// offered to.
 	OfferTime clock.Millis
+	// LooseInterval is the time between two reports of a sidecar whose worker is
+	// followed loosely.
+	LooseInterval clock.Millis
 	// KeepEnded is how long the end of a job is remembered.
 	KeepEnded clock.Millis
 	// Seed of the random choice among equally good workers.
@@ -64,10 +69,22 @@
 	takeovers  []*takeover
 	// startedAt is when the entry began, the time of its first tick.
 	startedAt clock.Millis
+	// disturbedAt is when callers last lost their submissions, as far as this entry
+	// knows: its own start or the loss of another entry.
+	disturbedAt clock.Millis
+	// patience is how long the callers of each route usually wait, in ms.
+	patience map[batch.Route]float64
 	// contactAt is when the entry was last known not to be deposed.
 	contactAt clock.Millis
 	// storeFailing is true while the store refuses this entry's calls.
 	storeFailing bool
+	// stored is the number of stored jobs in jobs.
+	stored   int
+	refollow followChange
+	// asked holds the loosely followed workers that are asked for room until
+	// askedTill.
+	asked     [looseDemand]*node
+	askedTill clock.Millis
 	// peers is the number of entries that share the workers.
 	peers   int
 	pending map[ownership.Incarnation]map[batch.Route]int64
@@ -114,6 +131,7 @@
 		successors: make(ownership.Successors),
 		pending:    make(map[ownership.Incarnation]map[batch.Route]int64),
 		pools:      make(map[string]*pool),
+		patience:   make(map[batch.Route]float64),
 		peers:      1,
 	}
 }
@@ -149,7 +167,9 @@
 	s.now = now
 	if s.startedAt == 0 {
 		s.startedAt = now
+		s.disturbedAt = now
 	}
+	s.checkFollowed(now)
 	s.surveyPools(now)
 	s.checkNodes(now)
 	s.checkBestEffort(now)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -15,7 +15,7 @@
 const self = ownership.Incarnation("entry-a")
 
 var settings = scheduler.Settings{
-	Self: self, GrantTime: 6 * clock.Second, BestEffortGrant: 1100, SilentOwner: 8 * clock.Second, OfferTime: 8, KeepEnded: clock.Minute, Seed: 1,
+	Self: self, GrantTime: 6 * clock.Second, BestEffortGrant: 1100, SilentOwner: 8 * clock.Second, OfferTime: 8, LooseInterval: 450, KeepEnded: clock.Minute, Seed: 1,
 }
 
 // bed drives a Scheduler and plays the store and the sidecars.
@@ -52,7 +52,7 @@
 func (b *bed) connect(a scheduler.Address, cpu int64) {
 	b.workers[a] = cpu
 	b.received[a] = 0
-	b.s.SidecarConnected(a, sidecar(a))
+	b.s.SidecarConnected(a, "", sidecar(a))
 	b.inventory(a)
 }
 
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -73,6 +73,7 @@
 		}
 		j := recoveredJob(o)
 		s.jobs[o.ID] = j
+		s.stored++
 		t.jobs = append(t.jobs, o.ID)
 	}
 	s.takeovers = append(s.takeovers, t)
