Serve those who come for the first time before those who come again after an outage

Callers without an answer come again 1.3 s after they first sent their jobs and meet the usual traffic. The entries know neither, take all of them for new, and most of both are late or refused. Change: callers name how long they still wait. For 5 s after its start or the loss of another entry, an entry takes a caller that waits for less than 0.6 of what is usual on its route for one that comes again, and counts its objective from where it first sent the job. Such a job is usually too late to count, so it is served when there is room. Ruled out: slow starts (all sessions are up 0.2 s after the first process), the configuration (there after 0.03 s). Test: TestFirstSubmissionsGoBeforeResubmissions fails without it.

--- a/internal/scheduler/besteffort.go
+++ b/internal/scheduler/besteffort.go
@@ -32,12 +32,14 @@
 		return
 	}
 	_, ranBefore := s.ran[b.ID]
+	spent := s.notePatience(now, &b)
 	if reason, retryAfter := s.refusal(now, b); reason != "" {
 		s.refuse(r, b.ID, reason, retryAfter, ranBefore)
 		return
 	}
 	s.counters.Accepted++
 	j = newJob(now, b)
+	j.sentAt = now - spent
 	j.ranBefore = ranBefore
 	j.submitters = []Request{r}
 	s.jobs[b.ID] = j
--- a/internal/scheduler/resubmission_test.go
+++ b/internal/scheduler/resubmission_test.go
@@ -1,8 +1,10 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"testing"
 
+	"github.com/teaseltide/teaseltide/internal/batch"
 	"github.com/teaseltide/teaseltide/internal/scheduler"
 	"github.com/teaseltide/teaseltide/internal/wire"
 	"github.com/teaseltide/teaseltide/pkg/clock"
@@ -84,3 +86,53 @@
 	b.report(starts[0].at)
 	b.take()
 }
+
+// Found on indcant-teasel, trouble-2: after all processes had ended, callers who
+// came again after 1.3 s took the room from those who came for the first time,
+// and both were late. A caller that still waits for much less than usual has
+// spent the rest on an earlier submission. Without such a loss before, it is
+// only less patient.
+func TestFirstSubmissionsGoBeforeResubmissions(t *testing.T) {
+	for name, test := range map[string]struct {
+		// after is when the jobs come, since the start of the entry.
+		after clock.Millis
+		lost  bool
+		want  batch.JobID
+	}{
+		"after the start":                 {1000, false, "first"},
+		"later":                           {8000, false, "again"},
+		"after the loss of another entry": {8000, true, "first"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, 1)
+			for i := range 20 {
+				b.submit(waitingJob(batch.JobID(fmt.Sprint("usual", i)), b.now+2000))
+				for _, s := range b.starts() {
+					b.report(s.at, event(s.run, wire.TaskEvent_STATE_DONE))
+				}
+			}
+			b.advance(test.after)
+			if test.lost {
+				b.s.EntryGone("entry-b")
+			}
+			b.advanceBusy(20)
+			b.take()
+			b.submit(waitingJob("again", b.now+700))
+			b.submit(waitingJob("first", b.now+2000))
+			b.starts()
+			b.send("w0", &wire.TaskReport{Load: &wire.WorkerLoad{
+				Cpu: 20_000, FreeCpu: 6000, MemoryMb: 1000, FreeMemoryMb: 1000, Ready: true, Service: "s",
+			}})
+			starts := b.starts()
+			if len(starts) != 1 || starts[0].run.Job != test.want {
+				t.Errorf("starts in room for one: got %v, want %s", starts, test.want)
+			}
+		})
+	}
+}
+
+func waitingJob(id batch.JobID, deadline clock.Millis) batch.Job {
+	j := job(string(id), 1, true)
+	j.Deadline = deadline
+	return j
+}
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -42,7 +42,7 @@
 }
 
 // lateAt is when a job no longer counts for its caller.
-func (j *job) lateAt() clock.Millis { return j.acceptedAt + lateFactor*j.Objective }
+func (j *job) lateAt() clock.Millis { return j.sentAt + lateFactor*j.Objective }
 
 // reach is when the tasks of a job should have ended. A worker that is too slow
 // for it gets none: waiting for a faster one is better, and once that is too
