Tell resubmissions by objectives as well as by time

Cause: callers wait longer for more work. Change: the usual patience of a route is kept in ms and in objectives of the jobs, and the smaller of both counts.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -72,8 +72,8 @@
 	// disturbedAt is when callers last lost their submissions, as far as this entry
 	// knows: its own start or the loss of another entry.
 	disturbedAt clock.Millis
-	// patience is how long the callers of each route usually wait, in ms.
-	patience map[batch.Route]float64
+	// patience is how long the callers of each route usually wait.
+	patience map[batch.Route]patience
 	// contactAt is when the entry was last known not to be deposed.
 	contactAt clock.Millis
 	// storeFailing is true while the store refuses this entry's calls.
@@ -131,7 +131,7 @@
 		successors: make(ownership.Successors),
 		pending:    make(map[ownership.Incarnation]map[batch.Route]int64),
 		pools:      make(map[string]*pool),
-		patience:   make(map[batch.Route]float64),
+		patience:   make(map[batch.Route]patience),
 		peers:      1,
 	}
 }
