Follow 32 workers, hear of the others every 900 ms and of loads less often

Cause: at 35 entries most messages were still reports of load: 400 a second from 40 followed workers and 270 from the others at each entry. Change: 32 workers are followed, 24 of them at home. The others report every 900 ms; a session without a frame for 1.5 s gets Ping. Beyond 16 entries a followed worker reports every 150 ms and not at each change.

--- a/internal/entrynode/sessions.go
+++ b/internal/entrynode/sessions.go
@@ -18,6 +18,10 @@
 	sidecarPeer
 )
 
+// silentSidecar is the time without a report after which a sidecar that is
+// followed loosely is asked for a sign of life: it reports every 900 ms.
+const silentSidecar = 1500 * clock.Millis(1)
+
 // handler turns what happens on sessions into events. Messages of a session
 // that a newer one has replaced are dropped.
 type handler struct {
@@ -40,6 +44,7 @@
 		}
 		h.p.sidecarSessions[s.Peer()] = s
 		// Reports are due from now on, also if no orders are sent.
+		s.ExpectFrames(silentSidecar)
 		s.SetOutstanding(true)
 		h.p.core.SidecarConnected(address.(scheduler.Address), ownership.Domain(hello.GetDomain()), s.Peer())
 	})
@@ -89,6 +94,7 @@
 	if s == nil {
 		return
 	}
+	s.SetOutstanding(!c.Orders.GetLoose())
 	if err := s.Send(wire.Wrap(c.Orders)); err != nil {
 		p.deps.Log.Warn("session ended", zap.String("peer", string(c.Sidecar)), zap.Error(err))
 		s.Close()
--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -244,7 +244,7 @@
 	switch {
 	case e.loose && e.runs == 0 && e.urgency == 0:
 		return LooseInterval
-	case !e.loose && e.sentLoad != x.loadSerial:
+	case !e.loose && e.sentLoad != x.loadSerial && len(x.entries) <= fewEntries:
 		return loadInterval
 	}
 	return reportInterval
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -45,9 +45,11 @@
 	// entry hears of every worker.
 	loadInterval = 100 * clock.Millis(1)
 	// LooseInterval is the longest time between two reports to an entry that
-	// follows the worker loosely. It is shorter than the silence after which an
-	// entry sends Ping.
-	LooseInterval = 450 * clock.Millis(1)
+	// follows the worker loosely.
+	LooseInterval = 900 * clock.Millis(1)
+	// fewEntries is the number of entries up to which each hears of each change of
+	// load; of more, the reports would cost more than they tell.
+	fewEntries = 16
 	// minStall is how long a run may make no progress before it is stopped: two
 	// listings of a worker on which nothing ends. A long run gets stallShare of
 	// its declared time, in which it makes some percent of progress also on a
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -36,6 +36,7 @@
 	sequence    atomic.Uint64
 	delivering  atomic.Bool
 	outstanding atomic.Bool
+	idlePing    atomic.Int64
 	sentText    atomic.Int64
 
 	once sync.Once
@@ -53,6 +54,7 @@
 		queue:   newQueue(n.cfg.QueueBytes),
 	}
 	s.lastIn.Store(int64(n.clk.Now()))
+	s.idlePing.Store(int64(n.cfg.IdlePing))
 	return s
 }
 
@@ -70,6 +72,12 @@
 	s.outstanding.Store(outstanding)
 }
 
+// ExpectFrames sets the time without an inbound frame after which Ping is sent
+// while nothing is outstanding, for a peer that sends frames of its own accord.
+func (s *Session) ExpectFrames(within clock.Millis) {
+	s.idlePing.Store(int64(within))
+}
+
 // Send queues an envelope and never blocks. The envelope must not be changed
 // afterwards; the same envelope may be sent on several sessions. An envelope
 // above the frame limit is not sent and the session stays open (kind
@@ -253,7 +261,7 @@
 		}
 		return
 	}
-	wait := cfg.IdlePing
+	wait := clock.Millis(s.idlePing.Load())
 	if s.outstanding.Load() {
 		wait = cfg.PingAfter
 	}
--- a/internal/scheduler/follow.go
+++ b/internal/scheduler/follow.go
@@ -14,11 +14,11 @@
 	// followed is the number of workers of a service that an entry follows closely.
 	// Their sidecars report each change of load; those of the others report now and
 	// then, so that the cost of reports does not grow with entries times workers.
-	followed = 40
+	followed = 32
 	// followedAtHome is the number of these in the entry's own failure domain, whose
 	// round trips are short. The rest spreads over the other domains, so that each
 	// worker is followed also where a domain has no entry.
-	followedAtHome = 30
+	followedAtHome = 24
 	// followInterval bounds how often the followed workers are chosen anew while
 	// sessions come and go.
 	followInterval = 100 * clock.Millis(1)
