--- a/Makefile
+++ b/Makefile
@@ -95,6 +95,11 @@
 	$(GO) test ./internal/peer -run XXX -fuzz FuzzReadFrame -fuzztime $(FUZZTIME)
 	$(GO) test ./pkg/operator -run XXX -fuzz FuzzParse -fuzztime $(FUZZTIME)
 	$(GO) test ./pkg/caller -run XXX -fuzz FuzzDecodeJob -fuzztime $(FUZZTIME)
+	$(GO) test ./internal/scheduler -run XXX -fuzz FuzzReport -fuzztime $(FUZZTIME)
+	$(GO) test ./internal/executor -run XXX -fuzz FuzzOrders -fuzztime $(FUZZTIME)
+	for target in FuzzDecodeConfig FuzzDecodeJob FuzzDecodeListing FuzzWorkerReport; do \
+		$(GO) test ./platform -run XXX -fuzz "^$$target$$" -fuzztime $(FUZZTIME) || exit 1; \
+	done
 
 clean:
 	rm -rf $(BIN)
--- /dev/null
+++ b/internal/scheduler/pause_test.go
@@ -0,0 +1,49 @@
+package scheduler_test
+
+import (
+	"testing"
+
+	"github.com/teaseltide/teaseltide/internal/scheduler"
+	"github.com/teaseltide/teaseltide/internal/wire"
+	"github.com/teaseltide/teaseltide/pkg/clock"
+)
+
+// Pattern: a process that had been paused for some seconds acted on a permission
+// that had run out meanwhile. An entry that wakes up after another one may have
+// taken over its stored jobs, and after its callers' deadlines, orders nothing
+// for them, although the reports that it finds tell of room.
+func TestPausedEntryOrdersNothing(t *testing.T) {
+	for name, bestEffort := range map[string]bool{"stored": false, "best-effort": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, 1)
+			b.advanceBusy(20)
+			r := b.submit(job("j", 1, bestEffort))
+			if !bestEffort {
+				b.save(scheduler.SaveDone)
+			}
+			if got := len(b.starts()); got != 0 {
+				t.Fatalf("starts on a full worker: got %d, want 0", got)
+			}
+			b.now += settings.SilentOwner + clock.Second
+			b.report("w0")
+			if got := b.starts(); len(got) != 0 {
+				t.Errorf("starts after the pause: got %v, want none", got)
+			}
+			for a, all := range b.sent {
+				for _, o := range all {
+					if !o.GetStoredWithheld() {
+						t.Errorf("orders to %s after the pause grant stored runs", a)
+					}
+				}
+			}
+			if got := b.replies()[r].Result; bestEffort && got != scheduler.NotStored {
+				t.Errorf("result of the job whose deadline has passed: got %v, want %v", got, scheduler.NotStored)
+			}
+			b.s.Contact(b.now)
+			b.send("w0", &wire.TaskReport{})
+			if got, want := len(b.starts()) == 1, !bestEffort; got != want {
+				t.Errorf("start once the store has answered: got %v, want %v", got, want)
+			}
+		})
+	}
+}
