Choose the followed workers anew when their service becomes known

Cause: sessions with sidecars begin before their first report, so the workers of all services were ranked together. With two services an entry followed 12 of the smaller one's 40 workers closely, instead of 32. Test: TestWorkersOfEachServiceAreFollowed fails without the change.

--- a/internal/scheduler/follow_test.go
+++ b/internal/scheduler/follow_test.go
@@ -94,6 +94,41 @@
 	}
 }
 
+// Pattern: two services share the fleet. An entry follows enough workers of each,
+// also of the smaller one.
+func TestWorkersOfEachServiceAreFollowed(t *testing.T) {
+	b := newFleetBed(t, 0)
+	for i := range 160 {
+		a := address(i)
+		b.workers[a] = 20_000
+		b.s.SidecarConnected(a, domainOf(i), sidecar(a))
+	}
+	for range 3 {
+		b.now += 150
+		for i := range 160 {
+			load := &wire.WorkerLoad{Cpu: 20_000, FreeCpu: 20_000, MemoryMb: 1000, FreeMemoryMb: 1000, Ready: true, Service: "s"}
+			if i < 40 {
+				load.Service = "small"
+			}
+			b.send(address(i), &wire.TaskReport{Inventory: true, Load: load})
+		}
+	}
+	small := 0
+	for a, loose := range b.loose() {
+		for i := range 40 {
+			if a == address(i) && loose {
+				small++
+			}
+		}
+	}
+	if got, want := small, 8; got != want {
+		t.Errorf("loosely followed workers of the service with 40: got %d, want %d", got, want)
+	}
+	if got, want := count(b.loose()), 8+88; got != want {
+		t.Errorf("loosely followed workers of both services: got %d, want %d", got, want)
+	}
+}
+
 // Pattern: a small fleet. All workers are followed closely.
 func TestSmallFleetIsFollowedClosely(t *testing.T) {
 	b := newFleetBed(t, 12)
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -92,7 +92,7 @@
 				s.pool(n.served).away += n.servedCPU
 			}
 		} else {
-			n.served, n.servedCPU, n.servedAt = n.load.GetService(), n.capacity.CPU, now
+			s.noteServed(now, n)
 		}
 		if !n.connected || n.load == nil {
 			continue
@@ -114,6 +114,15 @@
 	s.noteCrowding(now)
 }
 
+// noteServed notes for which service a worker takes tasks now. The workers that
+// the entry follows are chosen by service.
+func (s *Scheduler) noteServed(now clock.Millis, n *node) {
+	if n.served != n.load.GetService() {
+		s.refollow.due = true
+	}
+	n.served, n.servedCPU, n.servedAt = n.load.GetService(), n.capacity.CPU, now
+}
+
 // takesTasks reports whether a worker reports that it takes tasks.
 func (s *Scheduler) takesTasks(now clock.Millis, n *node) bool {
 	return n.connected && n.load.GetReady() && !n.ejected && !s.isSilent(now, n)
