Hand a new configuration to entries that the store refuses

When its registration lapsed, the other entries closed their sessions with it, and they tell peers of a configuration only when a session begins or after 20 s of silence. The entry served by the old configuration until the store answered. Change: entries keep the sessions with an entry for 30 s after its registration has lapsed, and announce a configuration to the others when they adopt it.

--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -98,6 +98,9 @@
 	// addresses names the address of each registered sidecar.
 	addresses sync.Map
 	requests  requests
+	// dialled holds the entries that this one dials and when each was last
+	// registered; the watch of the entries uses it.
+	dialled map[peer.Target]clock.Millis
 	// entrySessions and sidecarSessions are used by the control thread.
 	entrySessions   map[ownership.Incarnation]*peer.Session
 	sidecarSessions map[ownership.Incarnation]*peer.Session
@@ -115,6 +118,7 @@
 		settings: s, deps: d,
 		core:            scheduler.New(s.Scheduler),
 		control:         control.New(d.Clock),
+		dialled:         make(map[peer.Target]clock.Millis),
 		scan:            make(chan struct{}, 1),
 		quiet:           make(chan struct{}),
 		entrySessions:   make(map[ownership.Incarnation]*peer.Session),
--- a/internal/entrynode/members.go
+++ b/internal/entrynode/members.go
@@ -31,15 +31,28 @@
 	go p.watchOwners(ctx)
 }
 
+// keepLapsed is how long the session with an entry is kept after its registration
+// has lapsed: the store may refuse the entry, which then gets configurations from
+// the others only.
+const keepLapsed = 30 * clock.Second
+
 func (p *Process) entriesListed(all []platform.EntryRegistration) {
-	var targets []peer.Target
+	now := p.deps.Clock.Now()
 	live := make([]ownership.Incarnation, 0, len(all))
 	for _, e := range all {
 		live = append(live, e.Incarnation)
 		// The entry with the higher name dials.
 		if e.Incarnation < p.settings.Incarnation {
-			targets = append(targets, peer.Target{Incarnation: e.Incarnation, Address: e.PeerAddress})
+			p.dialled[peer.Target{Incarnation: e.Incarnation, Address: e.PeerAddress}] = now
+		}
+	}
+	var targets []peer.Target
+	for t, listedAt := range p.dialled {
+		if now-listedAt >= keepLapsed {
+			delete(p.dialled, t)
+			continue
 		}
+		targets = append(targets, t)
 	}
 	p.entries.Set(targets)
 	p.committer.SetInterval(max(minCommitInterval, clock.Millis(float64(clock.Second)*float64(len(all))/(p.settings.WritesPerSecond*writeShare))))
--- a/internal/entrynode/sessions.go
+++ b/internal/entrynode/sessions.go
@@ -101,6 +101,16 @@
 	}
 }
 
+// ConfigurationChanged tells the other entries of a new configuration: the store
+// may refuse some of them.
+func (p *Process) ConfigurationChanged() {
+	p.push(func(clock.Millis) {
+		for _, s := range p.entrySessions {
+			s.Announce()
+		}
+	})
+}
+
 func (p *Process) broadcast(n *wire.EntryNote) {
 	envelope := wire.Wrap(n)
 	for id, s := range p.entrySessions {
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -96,6 +96,9 @@
 	return err
 }
 
+// Announce sends Ping, by which the peer learns of the revisions in force.
+func (s *Session) Announce() { s.ping(s.node.clk.Now()) }
+
 // Close ends the session; what is queued is dropped.
 func (s *Session) Close() {
 	s.close(&Error{Op: "close", Kind: Closed, Peer: s.name()})
