--- a/internal/scheduler/follow.go
+++ b/internal/scheduler/follow.go
@@ -12,8 +12,8 @@
 
 const (
 	// followed is the number of workers of a service that an entry follows closely.
-	// Their sidecars report each change of load; those of the others report now and
-	// then, so that the cost of reports does not grow with entries times workers.
+	// Their sidecars report often and those of the others now and then, so that the
+	// cost of reports does not grow with entries times workers.
 	followed = 32
 	// followedAtHome is the number of these in the entry's own failure domain, whose
 	// round trips are short. The rest spreads over the other domains, so that each
@@ -35,7 +35,8 @@
 	demandTurn = 50 * clock.Millis(1)
 )
 
-// followChange is when the followed workers have to be chosen anew.
+// followChange tells whether the followed workers have to be chosen anew, and from
+// when on that may be done.
 type followChange struct {
 	due bool
 	at  clock.Millis
