httpd: Keep the accept loop blocked until the server has stopped

Cause: after Drain has closed the listener, Accept blocked until Close closed the stop channel. Close then waited for its own goroutine before it told nbhttp to stop, and nbio calls Accept again immediately after an error. The same loop spins when the process has no file descriptor left.

Change: the listener returns from Accept only when nbhttp closes it, which happens after nbhttp's loop has been told to end. After other errors Accept waits for 50 ms.

--- a/internal/httpd/httpd.go
+++ b/internal/httpd/httpd.go
@@ -117,25 +117,7 @@
 	}
 	s.addr = l.Addr().String()
 	s.listener = l
-	return &listener{Listener: l, stop: s.stop}, nil
-}
-
-// listener blocks in Accept after Drain has closed it, until the server stops.
-// nbio (v1.6.8) retries accept immediately after an error, and the busy loop
-// would take a whole core from the requests that are still being served.
-type listener struct {
-	net.Listener
-
-	stop chan struct{}
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if errors.Is(err, net.ErrClosed) {
-		<-l.stop
-	}
-	return c, err
+	return newListener(l), nil
 }
 
 // Addr returns the address that the server listens on.
