Give slow workers all tasks that they can end in time

Cause: a worker more than 2.5 times slower than the median got one task at a time. On the index compilers' deployment the slow kind of worker is 2.4 times slower than the fast one, and its learned slowness is 2.3 to 3.0 times the median, so three workers with 56 of 200 cores changed between both states. During bursts they stood idle while jobs were refused (the log lines of each pass show the fast workers full, the slow ones with 8 to 13 free cores).

Hypothesis: the limit protects nothing, because a task is only placed where it is expected to end in time.

Change: only ejected workers get probes.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -84,7 +84,7 @@
 	}
 	for _, n := range s.nodeList {
 		if n.connected && n.load.GetReady() && n.load.GetService() == b.Service && !n.ejected {
-			capacity += float64(n.capacity.CPU) / max(n.slowness, 1/probeOnlySlowness)
+			capacity += n.throughput(n.capacity.CPU)
 		}
 	}
 	return capacity, true
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -14,9 +14,6 @@
 	// minProbeInterval and maxProbeInterval bound the time between probes.
 	minProbeInterval = 1 * clock.Second
 	maxProbeInterval = 8 * clock.Second
-	// probeOnlySlowness is the slowness relative to the median worker above which a
-	// worker gets only probes: waiting for another one is faster.
-	probeOnlySlowness = 2.5
 	// maxEjectedFraction bounds the ejected part of a service's workers: a fault
 	// that affects all workers is not a fault of the worker.
 	maxEjectedFraction = 1.0 / 3
@@ -83,11 +80,8 @@
 	return float64(ejected+1) <= max(1, maxEjectedFraction*float64(serving))
 }
 
-// mayPlaceOn reports whether a worker may get a task now. An ejected or slow
-// worker gets one task at a time.
-func (s *Scheduler) mayPlaceOn(now clock.Millis, n *node, median float64) bool {
-	if !n.ejected && n.slowness <= probeOnlySlowness*median {
-		return true
-	}
-	return len(n.runs) == 0 && now >= n.nextProbeAt
+// mayPlaceOn reports whether a worker may get a task now. An ejected worker gets
+// one task at a time.
+func (n *node) mayPlaceOn(now clock.Millis) bool {
+	return !n.ejected || len(n.runs) == 0 && now >= n.nextProbeAt
 }
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -20,6 +20,8 @@
 	// maxSlowness bounds the observed slowness, because a single run can be far from
 	// its estimate.
 	maxSlowness = 20.0
+	// minSlowness bounds the weight of a fast worker in the throughput of all.
+	minSlowness = 0.4
 	// minObservedRunTime is the declared run time below which a run is not used to
 	// learn slowness: the calls around a shorter run take too large a part.
 	minObservedRunTime = 20 * clock.Millis(1)
@@ -118,6 +120,12 @@
 	n.slowness += (ratio - n.slowness) * weight
 }
 
+// throughput returns the declared work in millicores times ms that a CPU share of
+// the worker, in millicores, does in a ms.
+func (n *node) throughput(cpu int64) float64 {
+	return float64(cpu) / max(n.slowness, minSlowness)
+}
+
 // SidecarConnected handles a new session with the sidecar at an address in a
 // failure domain.
 func (s *Scheduler) SidecarConnected(address Address, domain ownership.Domain, id ownership.Incarnation) {
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -80,11 +80,10 @@
 // that are expected to end the task in time, nil if there is none.
 func (s *Scheduler) chooseWorker(now clock.Millis, j *job, t *task) *node {
 	step := &j.Steps[t.step]
-	median := s.pool(j.Service).medianSlowness
 	var best *node
 	var bestCost float64
 	for _, n := range s.nodeList {
-		if !n.eligible(j.Service, step) || now-n.reportReceivedAt > maxReportAge || now < n.reservedUntil || !n.free.Covers(step.Required) || !s.mayPlaceOn(now, n, median) {
+		if !n.eligible(j.Service, step) || now-n.reportReceivedAt > maxReportAge || now < n.reservedUntil || !n.free.Covers(step.Required) || !n.mayPlaceOn(now) {
 			continue
 		}
 		if step.MaxPerWorker > 0 && boundTasks(j, t.step, n) >= step.MaxPerWorker {
