Measure the workers' utilization in throughput

Cause: crowding, and with it overload, was judged by the free CPU of all workers. Slow workers, which few tasks can use in time, keep 20 to 30% of it free, so entries did not see overload while all fast workers were full.

Hypothesis: weighted by speed, the same threshold detects overload when no worker that helps is free.

Change: the pool's free, total and absent capacity are in units of throughput.

--- a/internal/loadtest/slow_test.go
+++ b/internal/loadtest/slow_test.go
@@ -35,3 +35,24 @@
 		}
 	}
 }
+
+// A third of the workers is slow, and more work comes than all workers do. Guards
+// against callers that wait for several objectives until they are refused, because
+// the free CPU of the slow workers hides that the fast ones are full.
+func TestRefusalsAreSoonBesideSlowWorkers(t *testing.T) {
+	for _, load := range []float64{1.1, 1.3, 1.6} {
+		f := newFleet(pumpCheckLoad(load, slowThirdWorkers()))
+		f.run()
+		t.Logf("load %.1f: %s", load, f)
+		for name, o := range f.outcomes {
+			if o.maxRefusalDelay > 1 {
+				t.Errorf("load %.1f, %s: got a refusal after %.2f objectives, want it within the objective", load, name, o.maxRefusalDelay)
+			}
+		}
+		for id := range f.refused {
+			if f.started[id] {
+				t.Errorf("load %.1f: job %s was refused as not run, but a task of it started", load, id)
+			}
+		}
+	}
+}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -27,13 +27,14 @@
 	slownessInterval = 50 * clock.Millis(1)
 )
 
-// pool aggregates the workers of a service, as this entry knows them. CPU is in
-// millicores.
+// pool aggregates the workers of a service, as this entry knows them. Capacity is
+// measured as throughput: the free CPU of a slow worker, which few tasks can use
+// in time, must not hide that the fast ones are full.
 type pool struct {
-	freeCPU, totalCPU int64
-	// awayCPU is the capacity of workers that took tasks less than awayGracePeriod
-	// ago and do not now.
-	awayCPU int64
+	free, total float64
+	// away is the capacity of workers that took tasks less than awayGracePeriod ago
+	// and do not now.
+	away float64
 	// fastestSlowness and medianSlowness are the learned slowness of the fastest and
 	// the median worker.
 	fastestSlowness, medianSlowness float64
@@ -43,12 +44,13 @@
 	slownesses              []float64
 }
 
-// utilization returns the used fraction of the workers' CPU, 1 without workers.
+// utilization returns the used fraction of the workers' capacity, 1 without
+// workers.
 func (p *pool) utilization() float64 {
-	if p.totalCPU <= 0 {
+	if p.total <= 0 {
 		return 1
 	}
-	return 1 - float64(p.freeCPU)/float64(p.totalCPU)
+	return 1 - p.free/p.total
 }
 
 func (p *pool) isCrowded() bool { return p.utilization() > crowdedUtilization }
@@ -56,7 +58,7 @@
 // isCrowdedTransiently reports whether the workers would not be crowded with the
 // capacity that is away.
 func (p *pool) isCrowdedTransiently() bool {
-	return p.isCrowded() && p.awayCPU > 0 && 1-float64(p.freeCPU+p.awayCPU)/float64(p.totalCPU+p.awayCPU) <= crowdedUtilization
+	return p.isCrowded() && p.away > 0 && 1-(p.free+p.away)/(p.total+p.away) <= crowdedUtilization
 }
 
 // isOverloaded reports whether the workers have been crowded for overloadDelay
@@ -82,7 +84,7 @@
 		s.slownessDueAt = now + slownessInterval
 	}
 	for _, p := range s.pools {
-		p.freeCPU, p.totalCPU, p.awayCPU = 0, 0, 0
+		p.free, p.total, p.away = 0, 0, 0
 		if slownessDue {
 			p.slownesses = p.slownesses[:0]
 		}
@@ -90,7 +92,7 @@
 	for _, n := range s.nodeList {
 		if !s.takesTasks(now, n) {
 			if n.lastService != "" && now-n.lastServiceAt < awayGracePeriod {
-				s.pool(n.lastService).awayCPU += n.lastServiceCPU
+				s.pool(n.lastService).away += n.throughput(n.lastServiceCPU)
 			}
 		} else {
 			s.recordService(now, n)
@@ -103,8 +105,8 @@
 			p.slownesses = append(p.slownesses, n.slowness)
 		}
 		if n.load.GetReady() && !n.ejected {
-			p.freeCPU += max(0, n.free.CPU)
-			p.totalCPU += n.capacity.CPU
+			p.free += n.throughput(max(0, n.free.CPU))
+			p.total += n.throughput(n.capacity.CPU)
 		}
 	}
 	if slownessDue {
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -55,7 +55,7 @@
 	n.runs[j.runID(t).TaskID] = boundTask{j, t}
 	n.unacknowledgedStarts = append(n.unacknowledgedStarts, unacknowledgedStart{sequence: t.sequence, required: step.Required})
 	n.free = n.free.Sub(step.Required)
-	s.pool(j.Service).freeCPU -= step.Required.CPU
+	s.pool(j.Service).free -= n.throughput(step.Required.CPU)
 	n.orders().Starts = append(n.orders().Starts, s.startOrder(j, t, j.Spec))
 	s.counters.Starts++
 }
