Retry all watches when the store answers again

Cause: each watch and the registration had a backoff of their own, up to 1.5 s. After its return the first entry's registration succeeded after 27 ms, its configuration came after 187 ms, and all jobs were refused until then.

Hypothesis: the first call that succeeds shows that the others can, and an entry without a configuration loses more than its calls cost.

--- a/internal/platform/directory.go
+++ b/internal/platform/directory.go
@@ -24,6 +24,10 @@
 	// read. A connection that fails silently delays a change by about this
 	// time, within the 5 s in which a configuration must take effect.
 	DefaultWatchCheckInterval = 2 * clock.Second
+	// DefaultMaxBackoff bounds the delay before a failed watch is reopened. It is
+	// short enough for a change to be delivered within 5 s after an outage of the
+	// store.
+	DefaultMaxBackoff = 1500 * clock.Millis(1)
 	// writeAttempts bounds the attempts of a write whose outcome is unknown.
 	writeAttempts = 3
 )
@@ -58,6 +62,11 @@
 	EntryLease clock.Millis
 	// WatchCheckInterval defaults to DefaultWatchCheckInterval.
 	WatchCheckInterval clock.Millis
+	// MaxBackoff bounds the delay before a failed watch is reopened; it defaults to
+	// DefaultMaxBackoff.
+	MaxBackoff clock.Millis
+	// Recovery defaults to one of the directory's own.
+	Recovery *Recovery
 	// OnError, if not nil, is called for errors after which a watch or
 	// registration is retried: with the first error after a success, and with
 	// each value that cannot be decoded.
@@ -82,6 +91,12 @@
 	if settings.WatchCheckInterval <= 0 {
 		settings.WatchCheckInterval = DefaultWatchCheckInterval
 	}
+	if settings.MaxBackoff <= 0 {
+		settings.MaxBackoff = DefaultMaxBackoff
+	}
+	if settings.Recovery == nil {
+		settings.Recovery = NewRecovery()
+	}
 	if settings.OnError == nil {
 		settings.OnError = func(error) {}
 	}
--- a/internal/platform/registration.go
+++ b/internal/platform/registration.go
@@ -156,14 +156,18 @@
 func (d *Directory) KeepEntry(ctx context.Context, e EntryRegistration, onChange func(bool)) {
 	k := &entryKeeper{directory: d, entry: e, onChange: onChange, clock: clock.NewSystem()}
 	interval := d.settings.EntryLease / renewalsPerLease
-	failures := failureReporter{report: d.settings.OnError}
+	failures := failureReporter{report: d.settings.OnError, recovery: d.settings.Recovery}
 	for {
 		err := k.renewAndNotify(ctx)
 		if ctx.Err() != nil {
 			break
 		}
 		failures.noteResult(err)
-		if !sleep(ctx, jittered(interval)) {
+		wait := sleep
+		if err != nil {
+			wait = d.settings.Recovery.wait
+		}
+		if !wait(ctx, jittered(interval)) {
 			break
 		}
 	}
@@ -239,16 +243,21 @@
 	k.setRegistered(false)
 }
 
-// failureReporter reports only the first error after a success.
+// failureReporter reports only the first error after a success, and announces the
+// first success after an error.
 type failureReporter struct {
-	report  func(error)
-	failing bool
+	report   func(error)
+	recovery *Recovery
+	failing  bool
 }
 
 func (f *failureReporter) noteResult(err error) {
 	if err != nil && !f.failing {
 		f.report(err)
 	}
+	if err == nil && f.failing {
+		f.recovery.announce()
+	}
 	f.failing = err != nil
 }
 
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -15,11 +15,8 @@
 )
 
 const (
-	// initialBackoff and maxBackoff bound the delay before a failed watch is
-	// reopened. maxBackoff is short enough for a change to be delivered
-	// within 5 s after an outage of the store.
+	// initialBackoff is the first delay before a failed watch is reopened.
 	initialBackoff clock.Millis = 100
-	maxBackoff     clock.Millis = 1500
 	// jitterFactor is the fraction by which each delay varies, so that the
 	// processes do not call the store simultaneously.
 	jitterFactor = 0.3
@@ -85,8 +82,8 @@
 // after each failure.
 func (d *Directory) watch(ctx context.Context, scope Scope, deliver func([]KeyValue, Revision) error) {
 	v := &scopeView{scope: scope, deliver: deliver, report: d.settings.OnError}
-	retryBackoff := newBackoff()
-	failures := failureReporter{report: d.settings.OnError}
+	retryBackoff := newBackoff(d.settings.MaxBackoff)
+	failures := failureReporter{report: d.settings.OnError, recovery: d.settings.Recovery}
 	clk := clock.NewSystem()
 	for {
 		start := clk.Now()
@@ -95,23 +92,23 @@
 			failures.noteResult(nil)
 			err = v.applyWatch(ctx, d.store, d.settings.WatchCheckInterval)
 		}
-		if clk.Now()-start > maxBackoff {
+		if clk.Now()-start > d.settings.MaxBackoff {
 			retryBackoff.Reset()
 		}
 		if ctx.Err() != nil {
 			return
 		}
 		failures.noteResult(err)
-		if !sleep(ctx, retryBackoff.NextBackOff()) {
+		if !d.settings.Recovery.wait(ctx, retryBackoff.NextBackOff()) {
 			return
 		}
 	}
 }
 
-func newBackoff() *backoff.ExponentialBackOff {
+func newBackoff(longest clock.Millis) *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = initialBackoff.Duration()
-	b.MaxInterval = maxBackoff.Duration()
+	b.MaxInterval = longest.Duration()
 	b.RandomizationFactor = jitterFactor
 	b.Reset()
 	return b
