Use workers again that were slow for a while

Cause: a worker learned as slow gets no task that must end in time, so no run shows that it has recovered. Only late jobs under overload taught it anew. Workers that were six times slower for 5 s were missing in a burst 5 s later.

Hypothesis: an estimate that no run confirms should lose weight. The worker's own average over a longer time tells a slow kind of worker from one that was slow for a while.

Change: each worker has a usual slowness, over about a hundred runs. The slowness of a worker without runs for a second decays towards it. The median of all workers is not needed any more.

TestRecoveredWorkerIsUsedAgain fails before.

--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -22,6 +22,13 @@
 	maxSlowness = 20.0
 	// minSlowness bounds the weight of a fast worker in the throughput of all.
 	minSlowness = 0.4
+	// usualSlownessWeight is the weight of a new run in a worker's usual slowness, an
+	// average over about the last hundred runs.
+	usualSlownessWeight = 0.01
+	// slownessValidity is how long the slowness of a worker without runs is kept;
+	// after it, the difference to the usual one decays with slownessDecayTime.
+	slownessValidity  = 1 * clock.Second
+	slownessDecayTime = 4 * clock.Second
 	// minObservedRunTime is the declared run time below which a run is not used to
 	// learn slowness: the calls around a shorter run take too large a part.
 	minObservedRunTime = 20 * clock.Millis(1)
@@ -80,9 +87,11 @@
 	outsideSubset, outsideSubsetSent bool
 	// inDemandSample is true for a worker outside the subset that is sent demand.
 	inDemandSample bool
-	// slowness is the learned ratio of run times to their estimates.
-	slowness     float64
-	observedRuns int
+	// slowness is the learned ratio of run times to their estimates, usualSlowness
+	// the same over a longer time.
+	slowness, usualSlowness float64
+	observedRuns            int
+	observedAt              clock.Millis
 	health
 }
 
@@ -94,7 +103,7 @@
 }
 
 func newNode(address Address) *node {
-	return &node{address: address, runs: make(map[batch.TaskID]boundTask), slowness: 1}
+	return &node{address: address, runs: make(map[batch.TaskID]boundTask), slowness: 1, usualSlowness: 1}
 }
 
 // orders returns the orders that the next flush sends.
@@ -110,14 +119,25 @@
 }
 
 // observeRunTime updates the slowness with a run's estimated and actual time.
-func (n *node) observeRunTime(estimated, took clock.Millis) {
+func (n *node) observeRunTime(now, estimated, took clock.Millis) {
 	if estimated < minObservedRunTime || took <= 0 {
 		return
 	}
 	ratio := min(float64(took)/float64(estimated), maxSlowness)
 	n.observedRuns++
-	weight := max(slownessWeight, 1/float64(n.observedRuns+1))
-	n.slowness += (ratio - n.slowness) * weight
+	n.observedAt = now
+	first := 1 / float64(n.observedRuns+1)
+	n.slowness += (ratio - n.slowness) * max(slownessWeight, first)
+	n.usualSlowness += (ratio - n.usualSlowness) * max(usualSlownessWeight, first)
+}
+
+// forgetSlowness moves the slowness of a worker without runs towards its usual one.
+// A worker that was slow for a while gets no tasks, so that its recovery would not
+// be observed.
+func (n *node) forgetSlowness(now clock.Millis) {
+	if len(n.runs) == 0 && n.slowness > n.usualSlowness && now-n.observedAt >= slownessValidity {
+		n.slowness -= (n.slowness - n.usualSlowness) * float64(slownessInterval) / float64(slownessDecayTime)
+	}
 }
 
 // throughput returns the declared work in millicores times ms that a CPU share of
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -1,10 +1,6 @@
 package scheduler
 
-import (
-	"slices"
-
-	"github.com/teaseltide/teaseltide/pkg/clock"
-)
+import "github.com/teaseltide/teaseltide/pkg/clock"
 
 const (
 	// crowdedUtilization is the utilization of a service's workers above which late
@@ -22,8 +18,8 @@
 	// crowdingEndDelay is how long workers must have free capacity before crowding
 	// ends: under overload too, single runs that end free some for a moment.
 	crowdingEndDelay = 100 * clock.Millis(1)
-	// slownessInterval is the interval between updates of the fastest and median
-	// slowness.
+	// slownessInterval is the interval between updates of the fastest slowness and of
+	// those without recent runs.
 	slownessInterval = 50 * clock.Millis(1)
 )
 
@@ -35,13 +31,11 @@
 	// away is the capacity of workers that took tasks less than awayGracePeriod ago
 	// and do not now.
 	away float64
-	// fastestSlowness and medianSlowness are the learned slowness of the fastest and
-	// the median worker.
-	fastestSlowness, medianSlowness float64
+	// fastestSlowness is the learned slowness of the fastest worker.
+	fastestSlowness float64
 	// crowdedSince is since when the workers have been crowded while jobs were
 	// queued for them, 0 if they are not; crowdedAt is when they last were.
 	crowdedSince, crowdedAt clock.Millis
-	slownesses              []float64
 }
 
 // utilization returns the used fraction of the workers' capacity, 1 without
@@ -71,7 +65,7 @@
 func (s *Scheduler) pool(service string) *pool {
 	p := s.pools[service]
 	if p == nil {
-		p = &pool{fastestSlowness: 1, medianSlowness: 1}
+		p = &pool{fastestSlowness: 1}
 		s.pools[service] = p
 	}
 	return p
@@ -85,9 +79,6 @@
 	}
 	for _, p := range s.pools {
 		p.free, p.total, p.away = 0, 0, 0
-		if slownessDue {
-			p.slownesses = p.slownesses[:0]
-		}
 	}
 	for _, n := range s.nodeList {
 		if !s.takesTasks(now, n) {
@@ -102,7 +93,7 @@
 		}
 		p := s.pool(n.load.GetService())
 		if slownessDue {
-			p.slownesses = append(p.slownesses, n.slowness)
+			n.forgetSlowness(now)
 		}
 		if n.load.GetReady() && !n.ejected {
 			p.free += n.throughput(max(0, n.free.CPU))
@@ -111,7 +102,7 @@
 	}
 	if slownessDue {
 		for service, p := range s.pools {
-			p.updateSlowness(s.fastestSlowness(service))
+			p.fastestSlowness = s.fastestSlowness(service)
 		}
 	}
 	s.trackCrowding(now)
@@ -131,15 +122,6 @@
 	return n.connected && n.load.GetReady() && !n.ejected && !s.isStale(now, n)
 }
 
-// updateSlowness sets the slowness of the fastest worker and computes the median.
-func (p *pool) updateSlowness(fastest float64) {
-	p.fastestSlowness, p.medianSlowness = fastest, 1
-	if len(p.slownesses) > 0 {
-		slices.Sort(p.slownesses)
-		p.medianSlowness = p.slownesses[len(p.slownesses)/2]
-	}
-}
-
 // fastestSlowness returns the slowness of a service's fastest worker that takes
 // tasks, 1 if there is none.
 func (s *Scheduler) fastestSlowness(service string) float64 {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -400,6 +400,38 @@
 	}
 }
 
+// A worker that was slow for some seconds gets no tasks, so that its recovery is not
+// observed. Guards against one that then stays unused while jobs wait for others.
+func TestRecoveredWorkerIsUsedAgain(t *testing.T) {
+	b := newTestbed(t, 2)
+	for i := range 40 {
+		b.submit(job("j"+strconv.Itoa(i), 4, true))
+		for _, s := range b.starts() {
+			e := event(s.run, wire.TaskEvent_STATE_DONE)
+			if s.at == address(1) && i >= 20 {
+				e.RunMs = 600
+			}
+			b.report(s.at, e)
+		}
+	}
+	perWorker := func(id string) map[scheduler.Address]int {
+		b.submit(job(id, 4, true))
+		count := make(map[scheduler.Address]int)
+		for _, s := range b.starts() {
+			count[s.at]++
+			b.report(s.at, event(s.run, wire.TaskEvent_STATE_DONE))
+		}
+		return count
+	}
+	if got := perWorker("slow")[address(1)]; got != 0 {
+		t.Fatalf("got %d starts on the slow worker, want none", got)
+	}
+	b.advance(10 * clock.Second)
+	if got := perWorker("recovered")[address(1)]; got != 1 {
+		t.Errorf("got %d starts on the worker after 10 s, want 1: the other one is full", got)
+	}
+}
+
 // A run declared as 1 ms took 8 ms with the calls around it, so that the worker
 // counted as many times too slow and a job with a wait of 300 ms was refused as
 // overload.
