--- a/internal/httpd/listener.go
+++ b/internal/httpd/listener.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/teaseltide/teaseltide/pkg/clock"
 )
 
 // listener keeps the accept loop of nbhttp from spinning: nbio (v1.6.8) calls
@@ -20,7 +22,7 @@
 
 // acceptRetryInterval is the wait after a failed accept, for example when the
 // process has no file descriptor left.
-const acceptRetryInterval = 50 * time.Millisecond
+const acceptRetryInterval clock.Millis = 50
 
 func newListener(l net.Listener) *listener {
 	return &listener{Listener: l, closed: make(chan struct{})}
@@ -37,7 +39,7 @@
 	case err != nil:
 		select {
 		case <-l.closed:
-		case <-time.After(acceptRetryInterval):
+		case <-time.After(acceptRetryInterval.Duration()):
 		}
 	}
 	return c, err
--- a/internal/httpd/listener_test.go
+++ b/internal/httpd/listener_test.go
@@ -74,9 +74,10 @@
 	l := newListener(inner)
 	stop := make(chan struct{})
 	ended := startAcceptLoop(l, stop)
-	time.Sleep(2 * acceptRetryInterval)
-	if got, limit := len(inner.calls), 4; got == 0 || got > limit {
-		t.Errorf("got %d calls of Accept within %v, want 1 to %d", got, 2*acceptRetryInterval, limit)
+	const intervals = 2
+	time.Sleep(intervals * acceptRetryInterval.Duration())
+	if got := len(inner.calls); got == 0 || got > intervals+1 {
+		t.Errorf("got %d calls of Accept in %d retry intervals, want 1 to %d", got, intervals, intervals+1)
 	}
 	close(stop)
 	l.Close()
--- a/internal/loadtest/slow_test.go
+++ b/internal/loadtest/slow_test.go
@@ -3,7 +3,7 @@
 import "testing"
 
 // minIndexerShare is the share of the value of all jobs that users require of the
-// index compiler service.
+// index compiler service, whose traffic has the shape of pumpCheckLoad.
 const minIndexerShare = 0.84
 
 // slowThirdWorkers returns workers of which a third is almost three times slower
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -19,7 +19,7 @@
 	// ends: under overload too, single runs that end free some for a moment.
 	crowdingEndDelay = 100 * clock.Millis(1)
 	// slownessInterval is the interval between updates of the fastest slowness and of
-	// those without recent runs.
+	// the slowness of workers without runs.
 	slownessInterval = 50 * clock.Millis(1)
 )
 
