--- a/internal/httpd/listener_test.go
+++ b/internal/httpd/listener_test.go
@@ -43,8 +43,8 @@
 	return ended
 }
 
-// Guards against an accept loop that spins on a drained listener while the
-// server stops: an entry with one core spent the rest of its grace period in it.
+// Guards against an accept loop that spins on a drained listener and takes the
+// processor from the goroutines that stop the server.
 func TestAcceptLoopOfDrainedServer(t *testing.T) {
 	inner := &failingListener{err: net.ErrClosed, calls: make(chan struct{}, 1000)}
 	l := newListener(inner)
