Start best-effort tasks only while their caller is known to be connected

The kernel of a paused entry accepts connections and keeps requests. When the entry went on, it served them, although their callers had closed the connection and submitted the jobs at other entries, where they ran; and it placed the tasks of earlier jobs again, whose runs had ended with its grants. It stopped the runs only when it learned that the connection had ended: nbhttp reports that after the handler has returned, so that the check for closed connections finds it, every 100 ms.

The caller's connection is what permits the runs of a best-effort job. The check and the start are decisions of one control thread; a pause between them makes the order too old for the sidecar.

--- a/internal/entrynode/callers.go
+++ b/internal/entrynode/callers.go
@@ -17,17 +17,29 @@
 type requests struct {
 	mu      sync.Mutex
 	next    scheduler.Request
-	pending map[scheduler.Request]chan scheduler.Reply
+	pending map[scheduler.Request]pendingRequest
 	closed  bool
 }
 
+// pendingRequest is a request that awaits its reply.
+type pendingRequest struct {
+	answer chan scheduler.Reply
+	caller Caller
+}
+
+// Caller is the caller of a request.
+type Caller interface {
+	// Gone reports whether the caller has closed its connection.
+	Gone() bool
+}
+
 // add registers a request and returns the channel for its reply. After close the
 // reply is Unknown.
-func (r *requests) add() (scheduler.Request, chan scheduler.Reply) {
+func (r *requests) add(c Caller) (scheduler.Request, chan scheduler.Reply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.pending == nil {
-		r.pending = make(map[scheduler.Request]chan scheduler.Reply)
+		r.pending = make(map[scheduler.Request]pendingRequest)
 	}
 	r.next++
 	answer := make(chan scheduler.Reply, 1)
@@ -35,16 +47,25 @@
 		answer <- scheduler.Reply{Result: scheduler.Unknown}
 		return r.next, answer
 	}
-	r.pending[r.next] = answer
+	r.pending[r.next] = pendingRequest{answer, c}
 	return r.next, answer
 }
 
+// gone reports whether a request is no longer pending or its caller has closed its
+// connection.
+func (r *requests) gone(id scheduler.Request) bool {
+	r.mu.Lock()
+	p, ok := r.pending[id]
+	r.mu.Unlock()
+	return !ok || p.caller != nil && p.caller.Gone()
+}
+
 func (r *requests) deliver(reply scheduler.Reply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if answer := r.pending[reply.Request]; answer != nil {
+	if p, ok := r.pending[reply.Request]; ok {
 		delete(r.pending, reply.Request)
-		answer <- reply
+		p.answer <- reply
 	}
 }
 
@@ -59,16 +80,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.closed = true
-	for id, answer := range r.pending {
+	for id, p := range r.pending {
 		delete(r.pending, id)
-		answer <- scheduler.Reply{Request: id, Result: scheduler.Unknown}
+		p.answer <- scheduler.Reply{Request: id, Result: scheduler.Unknown}
 	}
 }
 
 // awaitReply submits a request to the core and waits for its reply, which is
-// Unknown if ctx ends first.
-func (p *Process) awaitReply(ctx context.Context, submit func(now clock.Millis, r scheduler.Request)) scheduler.Reply {
-	id, answer := p.requests.add()
+// Unknown if ctx ends first. caller may be nil.
+func (p *Process) awaitReply(ctx context.Context, caller Caller, submit func(now clock.Millis, r scheduler.Request)) scheduler.Reply {
+	id, answer := p.requests.add(caller)
 	p.push(func(now clock.Millis) { submit(now, id) })
 	select {
 	case reply := <-answer:
@@ -80,15 +101,33 @@
 }
 
 // Submit submits a job. The result is Stored, NotStored or Unknown; for a
-// best-effort job, which is abandoned when ctx ends, Ended, NotStored or Unknown.
-func (p *Process) Submit(ctx context.Context, job batch.Job) scheduler.Reply {
-	reply := p.awaitReply(ctx, func(now clock.Millis, r scheduler.Request) { p.core.Submit(now, r, job) })
+// best-effort job, which is abandoned when ctx ends or its caller is gone, Ended,
+// NotStored or Unknown.
+func (p *Process) Submit(ctx context.Context, job batch.Job, caller Caller) scheduler.Reply {
+	reply := p.awaitReply(ctx, caller, func(now clock.Millis, r scheduler.Request) {
+		if job.BestEffort && p.requests.gone(r) {
+			p.deps.Log.Info("caller left before its job was accepted", zap.String("job", string(job.ID)))
+			p.requests.deliver(scheduler.Reply{Request: r, Result: scheduler.Unknown})
+			return
+		}
+		p.core.Submit(now, r, job)
+	})
 	if job.BestEffort && reply.Result == scheduler.Unknown && ctx.Err() != nil {
 		p.push(func(now clock.Millis) { p.core.CallerDisconnected(now, reply.Request, job.ID) })
 	}
 	return reply
 }
 
+// checkCaller tells the core whether the caller of a request is still connected.
+func (p *Process) checkCaller(c scheduler.CheckCaller) {
+	now := p.deps.Clock.Now()
+	if p.requests.gone(c.Request) {
+		p.core.CallerDisconnected(now, c.Request, c.Job)
+		return
+	}
+	p.core.CallerConnected(now, c.Request, c.Job)
+}
+
 // Status returns the state of a job, from the store if this entry does not
 // hold it.
 func (p *Process) Status(ctx context.Context, id batch.JobID) (batch.State, error) {
@@ -117,7 +156,7 @@
 // Cancel cancels a job and reports whether the job exists. An error means that
 // the cancellation is not stored.
 func (p *Process) Cancel(ctx context.Context, id batch.JobID) (bool, error) {
-	reply := p.awaitReply(ctx, func(now clock.Millis, r scheduler.Request) { p.core.Cancel(now, r, id) })
+	reply := p.awaitReply(ctx, nil, func(now clock.Millis, r scheduler.Request) { p.core.Cancel(now, r, id) })
 	switch reply.Result {
 	case scheduler.CancelStored:
 		return true, nil
--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -237,6 +237,8 @@
 		p.sendOrders(c)
 	case scheduler.Reply:
 		p.requests.deliver(c)
+	case scheduler.CheckCaller:
+		p.checkCaller(c)
 	case scheduler.Save:
 		p.committer.Enqueue(c)
 	case scheduler.Lookup:
--- a/internal/httpd/client.go
+++ b/internal/httpd/client.go
@@ -42,14 +42,15 @@
 
 func newConnection(s *Server, c net.Conn) *connection {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &connection{
+	in := &connection{
 		srv:        s,
 		conn:       c,
 		out:        &unsentConn{Conn: c},
-		ctx:        ctx,
 		cancel:     cancel,
 		lastActive: s.clk.Now(),
 	}
+	in.ctx = context.WithValue(ctx, connectionKey{}, in)
+	return in
 }
 
 // handleData passes received bytes to the parser and answers refused requests.
--- a/internal/loadtest/fleet_test.go
+++ b/internal/loadtest/fleet_test.go
@@ -371,6 +371,8 @@
 				})
 			}
 		}
+	case scheduler.CheckCaller:
+		e.core.CallerConnected(f.now, c.Request, c.Job)
 	case scheduler.Reply:
 		f.handleReply(e, c)
 	}
--- a/internal/scheduler/besteffort.go
+++ b/internal/scheduler/besteffort.go
@@ -10,6 +10,8 @@
 type resubmission struct {
 	job      batch.Job
 	requests []Request
+	// receivedAt is when the newest of the requests was received.
+	receivedAt clock.Millis
 }
 
 // submitBestEffort accepts or refuses a job that is held in this entry's memory
@@ -20,6 +22,7 @@
 	switch {
 	case j != nil && !j.cancelled:
 		j.submitters = append(j.submitters, r)
+		j.callerSeenAt = now
 		j.Deadline = max(j.Deadline, b.Deadline)
 		return
 	case j != nil:
@@ -27,6 +30,7 @@
 			j.resubmitted = &resubmission{job: b}
 		}
 		j.resubmitted.requests = append(j.resubmitted.requests, r)
+		j.resubmitted.receivedAt = now
 		return
 	}
 	if e, ok := s.ended[b.ID]; ok {
@@ -44,6 +48,7 @@
 	j.sentAt = now - elapsed
 	j.ranBefore = ranBefore
 	j.submitters = []Request{r}
+	j.callerSeenAt = now
 	s.jobs[b.ID] = j
 	s.enqueue(j)
 }
@@ -198,6 +203,7 @@
 		s.submitBestEffort(now, r, j.resubmitted.job)
 	}
 	if n := s.jobs[j.ID]; n != nil {
+		n.callerSeenAt = j.resubmitted.receivedAt
 		// Workers refuse attempts that are not higher than the previous ones.
 		for i := range j.tasks {
 			n.baseAttempt = max(n.baseAttempt, j.tasks[i].attempt)
@@ -213,6 +219,9 @@
 	}
 	s.expiryDueAt = now + expiryInterval
 	for _, j := range s.jobs {
+		if j.BestEffort && !j.cancelled {
+			s.checkCallers(now, j)
+		}
 		switch {
 		case !j.BestEffort:
 		case j.cancelled:
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -63,6 +63,9 @@
 	endsInWrite   int
 	unstoredSince clock.Millis
 	submitters    []Request
+	// callerSeenAt is when a caller of a best-effort job was last known to be
+	// connected, callerCheckedAt when that was last asked for.
+	callerSeenAt, callerCheckedAt clock.Millis
 	// refusedRequests are the requests for an abandoned job that await their reply,
 	// which is due by replyBy.
 	refusedRequests     []Request
--- a/internal/scheduler/pause_test.go
+++ b/internal/scheduler/pause_test.go
@@ -47,3 +47,44 @@
 		})
 	}
 }
+
+// Guards against two runs of a task at once: an entry that goes on after a pause
+// started tasks of callers that had left meanwhile and submitted their jobs at
+// another entry.
+func TestPausedEntryStartsNothingForCallersThatLeft(t *testing.T) {
+	for name, left := range map[string]bool{"left": true, "waits": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestbed(t, 1)
+			b.advanceBusy(20)
+			r := b.submit(job("j", 1, true))
+			if got := len(b.starts()); got != 0 {
+				t.Fatalf("starts on a full worker: got %d, want 0", got)
+			}
+			b.now += 1600
+			b.gone[r] = left
+			b.report("w0")
+			b.report("w0")
+			if got, want := len(b.starts()) == 1, !left; got != want {
+				t.Errorf("start after the pause: got %v, want %v", got, want)
+			}
+		})
+	}
+}
+
+// Guards against runs that go on after their caller has left: a connection whose
+// end the entry has not read yet is found by the periodic check.
+func TestRunsOfACallerThatLeftAreStopped(t *testing.T) {
+	b := newTestbed(t, 1)
+	r := b.submit(job("j", 1, true))
+	run := b.starts()[0].run
+	b.report("w0", event(run, wire.TaskEvent_STATE_RUNNING))
+	b.gone[r] = true
+	b.advance(500)
+	stops := 0
+	for _, o := range b.sent["w0"] {
+		stops += len(o.GetStops())
+	}
+	if stops == 0 {
+		t.Error("stops 500 ms after the caller left: got none")
+	}
+}
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -35,7 +35,7 @@
 		if !j.BestEffort && !stored {
 			continue
 		}
-		if !s.mayStart(j) {
+		if !s.mayStart(j) || !j.callerPresent(now) {
 			continue
 		}
 		if !s.placeJob(now, j) {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -30,6 +30,9 @@
 	// sent holds the orders that each sidecar received since the last call of
 	// starts.
 	sent map[scheduler.Address][]*wire.TaskOrders
+	// gone holds the requests whose callers have closed their connections, which
+	// the scheduler learns by CheckCaller only.
+	gone map[scheduler.Request]bool
 }
 
 func newTestbed(t *testing.T, workers int) *testbed {
@@ -37,6 +40,7 @@
 	b := &testbed{
 		t: t, s: scheduler.New(settings), now: 1_000_000,
 		received: make(map[scheduler.Address]int64), workers: make(map[scheduler.Address]int64), sent: make(map[scheduler.Address][]*wire.TaskOrders),
+		gone: make(map[scheduler.Request]bool),
 	}
 	b.s.RecordStoreContact(b.now)
 	b.s.SetEntries([]ownership.Incarnation{self})
@@ -84,6 +88,13 @@
 			b.received[a] = o.Orders.GetSequence()
 			b.sent[a] = append(b.sent[a], o.Orders)
 		}
+		if o, ok := c.(scheduler.CheckCaller); ok {
+			if b.gone[o.Request] {
+				b.s.CallerDisconnected(b.now, o.Request, o.Job)
+			} else {
+				b.s.CallerConnected(b.now, o.Request, o.Job)
+			}
+		}
 		b.commands = append(b.commands, c)
 	}
 }
