Log the arrival, order, start, stop and end of runs with their inputs

The record of two runs at once names failed runs only. It does not tell which entry ordered which run, on which report, nor when a job arrived and lost its caller, so it cannot distinguish the hypotheses.

An entry now logs each accepted job and each ordered run with the report that decided it, and adds the inputs to refused and given-up jobs. A sidecar logs each started, stopped and ended run and each refused order, with the entry that gave the order. The age of an order and the time of its report, by the sidecar's clock, are in the lines of both sides.

--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -256,11 +256,27 @@
 		if c.Summary == scheduler.JobEnded {
 			p.deps.Metrics.observeDuration(c.Reason, clock.Millis(c.Value))
 		}
-		p.deps.Log.Info(c.Summary, zap.String("job", string(c.Job)), zap.String("reason", c.Reason), zap.Int64("value", c.Value),
-			zap.String("sidecar", string(c.Sidecar)), zap.Uint32("step", c.Run.Step), zap.Uint32("index", c.Run.Index), zap.Int64("attempt", int64(c.Run.Attempt)))
+		p.deps.Log.Info(c.Summary, decisionFields(c)...)
 	}
 }
 
+// decisionFields returns the fields of a decision's log line.
+func decisionFields(c scheduler.Decision) []zap.Field {
+	fields := []zap.Field{
+		zap.String("job", string(c.Job)), zap.String("reason", c.Reason), zap.Int64("value", c.Value),
+		zap.String("sidecar", string(c.Sidecar)), zap.Uint32("step", c.Run.Step), zap.Uint32("index", c.Run.Index), zap.Int64("attempt", int64(c.Run.Attempt)),
+	}
+	if c.Route != "" {
+		fields = append(fields, zap.String("route", string(c.Route)))
+	}
+	for _, d := range c.Details {
+		if d.Name != "" {
+			fields = append(fields, zap.Int64(d.Name, d.Value))
+		}
+	}
+	return fields
+}
+
 // handleSaveResults passes the results of writes to the core.
 func (p *Process) handleSaveResults(results []jobstore.Result) {
 	p.push(func(now clock.Millis) {
--- a/internal/executor/commands.go
+++ b/internal/executor/commands.go
@@ -18,13 +18,88 @@
 	Token int64
 	// LeaseUntil is the new end of the worker's lease, 0 for no change.
 	LeaseUntil clock.Millis
+	Entry      ownership.Incarnation
+	// ReportSentAt is when the report was sent on which the entry's latest orders
+	// are based.
+	ReportSentAt clock.Millis
+	// OrderAge is the time since then.
+	OrderAge clock.Millis
+	// LatestLease is the latest end of the lease that was requested, with this call.
+	LatestLease clock.Millis
 }
 
 // StopRun calls the worker to stop a run. The end of the run appears in a later
 // listing.
 type StopRun struct {
-	Run   batch.RunID
-	Token int64
+	Run    batch.RunID
+	Token  int64
+	Entry  ownership.Incarnation
+	Reason StopReason
+}
+
+// StopReason is why a run is stopped.
+type StopReason string
+
+// Reasons to stop a run.
+const (
+	// StopOrdered means that the entry ordered the stop.
+	StopOrdered StopReason = "ordered"
+	// StopReleased means that the job of the run is no longer open.
+	StopReleased StopReason = "released"
+	// StopGrantOver means that the entry's grant has expired.
+	StopGrantOver StopReason = "grant-over"
+	// StopNoProgress means that the run has stalled.
+	StopNoProgress StopReason = "no-progress"
+	// StopUnclaimed means that no entry has claimed the discovered run.
+	StopUnclaimed StopReason = "unclaimed"
+)
+
+// RunEnded reports that a run has ended. It asks for no action.
+type RunEnded struct {
+	Run     batch.RunID
+	Entry   ownership.Incarnation
+	Outcome batch.Outcome
+	RunTime clock.Millis
+	// Stopped is true if this sidecar told the run to stop.
+	Stopped bool
+}
+
+// OrderRefused reports that an ordered run was not started. It asks for no action.
+type OrderRefused struct {
+	Run    batch.RunID
+	Entry  ownership.Incarnation
+	Reason RefusalReason
+	// OrderAge is the time since the report was sent on which the order is based.
+	OrderAge clock.Millis
+}
+
+// RefusalReason is why an ordered run is not started.
+type RefusalReason string
+
+// Reasons to refuse an order.
+const (
+	// RefusedAttemptKnown means that this or a later attempt of the task was ordered
+	// here before.
+	RefusedAttemptKnown RefusalReason = "attempt-known"
+	RefusedNotReady     RefusalReason = "not-ready"
+	RefusedOrderTooOld  RefusalReason = "order-too-old"
+	RefusedNoRoom       RefusalReason = "no-room"
+)
+
+// logRefused logs that an ordered run is not started.
+func (x *Executor) logRefused(now clock.Millis, r *run, reason RefusalReason) {
+	x.commands = append(x.commands, OrderRefused{Run: r.id, Entry: r.owner, Reason: reason, OrderAge: now - x.entry(r.owner).grantedFrom})
+}
+
+// refusalReason returns why a run whose attempt is new is not started.
+func (x *Executor) refusalReason(now clock.Millis, r *run) RefusalReason {
+	switch {
+	case !x.ready():
+		return RefusedNotReady
+	case now-x.entry(r.owner).grantedFrom > maxOrderAge:
+		return RefusedOrderTooOld
+	}
+	return RefusedNoRoom
 }
 
 // Report sends a report to an entry.
@@ -63,6 +138,8 @@
 func (ListNow) command()        {}
 func (StartRun) command()       {}
 func (StopRun) command()        {}
+func (RunEnded) command()       {}
+func (OrderRefused) command()   {}
 func (Report) command()         {}
 func (LeaseExpiring) command()  {}
 func (WorkerReplaced) command() {}
--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -149,11 +149,13 @@
 	if known, ok := x.attempts[id.TaskID]; ok && id.Attempt <= known.number || x.runs[id.TaskID] != nil {
 		// Either another run of the task is here, or the worker would refuse the
 		// attempt because it is not higher than the last one.
+		x.logRefused(now, r, RefusedAttemptKnown)
 		x.addEvent(r, wire.TaskEvent_STATE_NOT_STARTED)
 		return
 	}
 	x.attempts[id.TaskID] = attempt{number: id.Attempt, at: now}
 	if !x.ready() || now-e.grantedFrom > maxOrderAge || !x.worker.Capacity.Covers(r.resources) {
+		x.logRefused(now, r, x.refusalReason(now, r))
 		x.addEvent(r, wire.TaskEvent_STATE_NOT_STARTED)
 		return
 	}
@@ -175,7 +177,7 @@
 	case r.phase == queued:
 		x.returnTask(r)
 	case r.phase != ended:
-		x.stop(r)
+		x.stop(r, StopOrdered)
 	}
 }
 
@@ -192,7 +194,7 @@
 	}
 	r.acknowledgeable = true
 	if r.phase != ended {
-		x.stop(r)
+		x.stop(r, StopReleased)
 	}
 }
 
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -94,6 +94,7 @@
 	estimatedTime clock.Millis
 	phase         phase
 	stopping      bool
+	stopReason    StopReason
 	// token is the fencing token of the start.
 	token     int64
 	orderedAt clock.Millis
@@ -234,7 +235,7 @@
 	x.checkGrants(now)
 	x.checkProgress(now)
 	x.startQueued(now)
-	x.returnQueued()
+	x.returnQueued(now)
 	x.offerCapacity(now)
 	x.advanceCursor()
 	x.sendReports(now)
@@ -308,7 +309,11 @@
 		r.lastProgressAt = now
 		r.token = x.token
 		x.reserve(r)
-		x.commands = append(x.commands, StartRun{Run: r.id, Spec: r.spec, Token: x.token, LeaseUntil: x.renewLease(now)})
+		granted, lease := x.entry(r.owner).grantedFrom, x.renewLease(now)
+		x.commands = append(x.commands, StartRun{
+			Run: r.id, Spec: r.spec, Token: x.token, LeaseUntil: lease,
+			Entry: r.owner, ReportSentAt: granted, OrderAge: now - granted, LatestLease: x.leaseUntil,
+		})
 	}
 }
 
@@ -342,9 +347,10 @@
 // returnQueued returns the tasks that did not start to their entries, which may
 // place them on another worker. A task that stayed queued here would be delayed
 // while another worker has free capacity.
-func (x *Executor) returnQueued() {
+func (x *Executor) returnQueued(now clock.Millis) {
 	for _, r := range x.runs {
 		if r.phase == queued {
+			x.logRefused(now, r, x.refusalReason(now, r))
 			x.returnTask(r)
 		}
 	}
@@ -362,18 +368,19 @@
 	for _, r := range x.runs {
 		if r.phase == running && !r.stopping && now-r.lastProgressAt >= max(minStallTime, clock.Millis(stallFraction*float64(r.estimatedTime))) {
 			r.stalled = true
-			x.stop(r)
+			x.stop(r, StopNoProgress)
 		}
 	}
 }
 
 // stop asks the worker to stop a run, unless it was asked before.
-func (x *Executor) stop(r *run) {
+func (x *Executor) stop(r *run, reason StopReason) {
 	if r.stopping {
 		return
 	}
 	r.stopping = true
-	x.commands = append(x.commands, StopRun{Run: r.id, Token: x.token})
+	r.stopReason = reason
+	x.commands = append(x.commands, StopRun{Run: r.id, Token: x.token, Entry: r.owner, Reason: reason})
 }
 
 // checkGrants abandons the runs whose grant has expired, as their entries may have
@@ -420,7 +427,11 @@
 // until an entry has looked up the job.
 func (x *Executor) abandon(r *run) {
 	if r.phase != ended {
-		x.stop(r)
+		reason := StopGrantOver
+		if r.owner == "" {
+			reason = StopUnclaimed
+		}
+		x.stop(r, reason)
 		return
 	}
 	r.acknowledgeable = r.bestEffort
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -171,7 +171,7 @@
 		r.lastProgressAt = now
 		x.addEvent(r, wire.TaskEvent_STATE_RUNNING)
 		if r.stopping {
-			x.commands = append(x.commands, StopRun{Run: r.id, Token: x.token})
+			x.commands = append(x.commands, StopRun{Run: r.id, Token: x.token, Entry: r.owner, Reason: r.stopReason})
 		}
 	case StartRefused, StartFenced:
 		x.release(r)
@@ -343,6 +343,7 @@
 	r.phase = ended
 	r.end = end
 	r.runTime = now - r.startedAt
+	x.commands = append(x.commands, RunEnded{Run: r.id, Entry: r.owner, Outcome: end, RunTime: r.runTime, Stopped: r.stopping})
 	x.addEvent(r, endState(r))
 }
 
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -52,7 +52,8 @@
 		maxResponse = b.Objective
 	}
 	if wait > 0 && wait+responseOverhead+clock.Millis(longest) > maxResponse {
-		return "overload", max(minRetryAfter, wait)
+		s.lastExpectedWait = wait
+		return reasonOverload, max(minRetryAfter, wait)
 	}
 	return "", 0
 }
@@ -126,5 +127,6 @@
 	if !fits {
 		return storeRetryAfter
 	}
-	return max(minRetryAfter, s.expectedWait(b, capacity))
+	s.lastExpectedWait = s.expectedWait(b, capacity)
+	return max(minRetryAfter, s.lastExpectedWait)
 }
--- a/internal/scheduler/besteffort.go
+++ b/internal/scheduler/besteffort.go
@@ -40,7 +40,7 @@
 	_, ranBefore := s.abandonedAfterStart[b.ID]
 	elapsed := s.updatePatience(now, &b)
 	if reason, retryAfter := s.checkAdmission(now, b); reason != "" {
-		s.refuse(r, b.ID, reason, retryAfter, ranBefore)
+		s.refuse(r, b, reason, retryAfter, ranBefore)
 		return
 	}
 	s.counters.Accepted++
@@ -51,11 +51,12 @@
 	j.callerSeenAt = now
 	s.jobs[b.ID] = j
 	s.enqueue(j)
+	s.logAccepted(now, j)
 }
 
 // refuse replies that a job is not accepted. The result is Unknown if an earlier
 // submission of the job ran here.
-func (s *Scheduler) refuse(r Request, id batch.JobID, reason string, retryAfter clock.Millis, ranBefore bool) {
+func (s *Scheduler) refuse(r Request, b batch.Job, reason string, retryAfter clock.Millis, ranBefore bool) {
 	s.counters.Refused++
 	result := NotStored
 	if ranBefore {
@@ -63,7 +64,7 @@
 	}
 	s.pendingCommands = append(s.pendingCommands,
 		Reply{Request: r, Result: result, RetryAfter: retryAfter},
-		Decision{Summary: "job refused", Job: id, Reason: reason, Value: int64(retryAfter)})
+		Decision{Summary: JobRefused, Job: b.ID, Route: b.Route, Reason: reason, Value: int64(retryAfter), Details: s.refusalInputs(b.Service, reason)})
 }
 
 // CallerDisconnected handles the disconnection of a request's caller. A
@@ -99,7 +100,7 @@
 // start orders are in flight, the reply waits for the sidecars to report whether
 // a run started.
 func (s *Scheduler) abandon(now clock.Millis, j *job, reason string, retryAfter clock.Millis) {
-	s.pendingCommands = append(s.pendingCommands, Decision{Summary: "job given up", Job: j.ID, Reason: reason, Value: int64(now - j.acceptedAt)})
+	s.pendingCommands = append(s.pendingCommands, Decision{Summary: JobGivenUp, Job: j.ID, Route: j.Route, Reason: reason, Value: int64(now - j.acceptedAt), Details: s.givenUpInputs(j, reason)})
 	s.counters.Refused++
 	j.refusedRequests = j.submitters
 	j.replyBy, j.retryAfter = now+startConfirmationTimeout, retryAfter
@@ -235,7 +236,7 @@
 			// Declared run times are up to twice too long.
 			s.abandon(now, j, "too late to start", minRetryAfter)
 		case !j.mayHaveRun() && s.isStarved(now, j):
-			s.abandon(now, j, "overload", s.retryAfterBacklog(j.Job))
+			s.abandon(now, j, reasonOverload, s.retryAfterBacklog(j.Job))
 		}
 	}
 }
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -139,7 +139,7 @@
 		return
 	}
 	if reason, retryAfter := s.checkAdmission(now, b); reason != "" {
-		s.refuse(r, b.ID, reason, retryAfter, false)
+		s.refuse(r, b, reason, retryAfter, false)
 		return
 	}
 	j := newJob(now, b)
@@ -213,9 +213,10 @@
 	case SaveDone:
 		s.counters.Accepted++
 		s.enqueue(j)
+		s.logAccepted(j.acceptedAt, j)
 	case SaveRefused:
 		s.counters.Refused++
-		s.pendingCommands = append(s.pendingCommands, Decision{Summary: "job refused", Job: j.ID, Reason: "store", Value: int64(storeRetryAfter)})
+		s.pendingCommands = append(s.pendingCommands, Decision{Summary: JobRefused, Job: j.ID, Route: j.Route, Reason: "store", Value: int64(storeRetryAfter)})
 		s.removeJob(j)
 	case SaveConflict:
 		// The caller's earlier request reached another entry.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -44,6 +44,9 @@
 	EndedRetention clock.Millis
 	// Seed of the random numbers that spread load over similar workers.
 	Seed uint64
+	// LogsJob reports whether the Decisions of a job without trouble are written to
+	// the log. If nil, those of all jobs are.
+	LogsJob func(batch.JobID) bool
 }
 
 // Scheduler is the decision core of an entry for stored and best-effort jobs.
@@ -99,6 +102,8 @@
 	slownessDueAt clock.Millis
 	sweepDueAt    clock.Millis
 	expiryDueAt   clock.Millis
+	// lastExpectedWait is the wait that was estimated last, for log lines.
+	lastExpectedWait clock.Millis
 	// now is the time of the tick or event that is being handled.
 	now             clock.Millis
 	counters        Counters
@@ -298,23 +303,8 @@
 	Note *wire.EntryNote
 }
 
-// JobEnded is the Summary of the Decision at the end of a job: its reason is the
-// state, its value the time since acceptance in ms.
-const JobEnded = "job ended"
-
-// Decision is a log line about a decision on a job, run or sidecar and its cause.
-type Decision struct {
-	Summary string
-	Job     batch.JobID
-	Run     batch.RunID
-	Sidecar Address
-	Reason  string
-	Value   int64
-}
-
 func (SendOrders) command()    {}
 func (Reply) command()         {}
 func (Save) command()          {}
 func (Lookup) command()        {}
 func (BroadcastNote) command() {}
-func (Decision) command()      {}
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -53,6 +53,7 @@
 	j.pendingTasks--
 	step := &j.Steps[t.step]
 	n.runs[j.runID(t).TaskID] = boundTask{j, t}
+	s.logOrdered(now, j, t, n)
 	n.unacknowledgedStarts = append(n.unacknowledgedStarts, unacknowledgedStart{sequence: t.sequence, required: step.Required})
 	n.free = n.free.Sub(step.Required)
 	s.pool(j.Service).free -= n.throughput(step.Required.CPU)
--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -183,13 +183,23 @@
 func (p *Process) execute(c executor.Command) {
 	switch c := c.(type) {
 	case executor.StartRun:
+		p.deps.Log.Info("run started", runField(c.Run), zap.String("entry", string(c.Entry)), zap.Int64("order-age-ms", int64(c.OrderAge)),
+			zap.Int64("report-ms", int64(c.ReportSentAt)), zap.Int64("lease-until-ms", int64(c.LeaseUntil)),
+			zap.Int64("latest-lease-ms", int64(c.LatestLease)), zap.Int64("token", c.Token))
 		go p.startRun(c)
 	case executor.PersistWorker:
 		p.queueWorkerUpdate(c.Worker)
 	case executor.ListNow:
 		go p.listNow()
 	case executor.StopRun:
+		p.deps.Log.Info("stop sent", runField(c.Run), zap.String("entry", string(c.Entry)), zap.String("reason", string(c.Reason)))
 		go p.stopRun(c)
+	case executor.RunEnded:
+		p.deps.Log.Info("run ended", runField(c.Run), zap.String("entry", string(c.Entry)), zap.String("outcome", string(c.Outcome)),
+			zap.Int64("run-ms", int64(c.RunTime)), zap.Bool("stopped", c.Stopped))
+	case executor.OrderRefused:
+		p.deps.Log.Info("order refused", runField(c.Run), zap.String("entry", string(c.Entry)), zap.String("reason", string(c.Reason)),
+			zap.Int64("order-age-ms", int64(c.OrderAge)))
 	case executor.Report:
 		p.sendReport(c)
 	case executor.LeaseExpiring:
