Log and count the pauses of a process, and the role of a lost peer

The control thread now compares each turn with the time at which it was due. One that is over 200 ms late gives the line 'process paused' before the first event after the pause, and counts into teaseltide_paused_seconds_total. Without the call the test fails: lines after a jump of 3000 ms: got "", want "process paused"; seconds paused: got 0, want 2.99. A turn that takes over 200 ms itself counts as well, because the process does not act meanwhile either.

The lines of lost sessions name the role of the peer.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -18,13 +18,15 @@
 // Thread is a control thread: a single-goroutine event loop.
 type Thread struct {
 	clock  clock.Clock
+	pauses *Pauses
 	events chan Event
 	done   chan struct{}
 }
 
-// New returns a Thread that handles no events until Run is called.
-func New(clk clock.Clock) *Thread {
-	return &Thread{clock: clk, events: make(chan Event, bufferSize), done: make(chan struct{})}
+// New returns a Thread that handles no events until Run is called. It records late
+// turns in pauses, unless that is nil.
+func New(clk clock.Clock, pauses *Pauses) *Thread {
+	return &Thread{clock: clk, pauses: pauses, events: make(chan Event, bufferSize), done: make(chan struct{})}
 }
 
 // Push enqueues an event and blocks while the buffer is full. After the end of
@@ -47,14 +49,22 @@
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	leaveDone := leaveCtx.Done()
+	due := t.clock.Now() + clock.FromDuration(interval)
 	for {
+		var first Event
 		select {
-		case e := <-t.events:
-			e(t.clock.Now())
+		case first = <-t.events:
 		case <-ticker.C:
 		case <-leaveDone:
 			leaveDone = nil
-			onLeave(t.clock.Now())
+			first = onLeave
+		}
+		now := t.clock.Now()
+		// Recorded before the first event, so that its consequences follow in the log.
+		t.pauses.record(now - due)
+		due = now + clock.FromDuration(interval)
+		if first != nil {
+			first(now)
 		}
 		t.applyQueued()
 		if !tick(t.clock.Now()) {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -5,6 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/teaseltide/teaseltide/internal/control"
 	"github.com/teaseltide/teaseltide/pkg/clock"
 )
@@ -12,7 +17,7 @@
 // Guards against events applied out of order, a second call of onLeave, and
 // senders that block after the end of Run.
 func TestThread(t *testing.T) {
-	thread := control.New(clock.NewSystem())
+	thread := control.New(clock.NewSystem(), nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	var order []int
 	leaveCalls := 0
@@ -41,3 +46,44 @@
 		thread.Push(func(clock.Millis) {})
 	}
 }
+
+// Guards against a pause of the process that leaves no trace, and against a line for
+// the delays of a busy machine.
+func TestPauseIsLogged(t *testing.T) {
+	for _, test := range []struct {
+		jump clock.Millis
+		want string
+	}{{150, ""}, {3_000, "process paused"}} {
+		clk := clock.NewManual(1_000_000)
+		core, lines := observer.New(zapcore.InfoLevel)
+		registry := prometheus.NewRegistry()
+		thread := control.New(clk, control.NewPauses(zap.New(core), registry))
+		const interval = 10 * time.Millisecond
+		thread.Push(func(clock.Millis) { clk.Advance(test.jump) })
+		turns := 0
+		thread.Run(context.Background(), interval, func(clock.Millis) {}, func(clock.Millis) bool {
+			turns++
+			return turns < 3
+		})
+		got, wantSeconds := "", 0.0
+		for _, l := range lines.All() {
+			got += l.Message
+			if late := test.jump - clock.FromDuration(interval); l.ContextMap()["paused-ms"] != int64(late) {
+				t.Errorf("length of the pause: got %v, want %d", l.ContextMap()["paused-ms"], late)
+			}
+		}
+		if got != test.want {
+			t.Errorf("lines after a jump of %d ms: got %q, want %q", test.jump, got, test.want)
+		}
+		if test.want != "" {
+			wantSeconds = (test.jump.Duration() - interval).Seconds()
+		}
+		families, err := registry.Gather()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := families[0].GetMetric()[0].GetCounter().GetValue(); got != wantSeconds {
+			t.Errorf("seconds paused: got %v, want %v", got, wantSeconds)
+		}
+	}
+}
--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -59,6 +59,8 @@
 	Log         *zap.Logger
 	Frames      peer.FrameCounter
 	Metrics     *Metrics
+	// Pauses records the pauses of the process; it may be nil.
+	Pauses *control.Pauses
 	// Quiesce, if not nil, waits until callers send no more requests. It is called
 	// in a planned stop once no job is open or DrainTimeout has passed; meanwhile
 	// new requests are refused.
@@ -122,7 +124,7 @@
 	p := &Process{
 		settings: s, deps: d,
 		core:            scheduler.New(s.Scheduler),
-		control:         control.New(d.Clock),
+		control:         control.New(d.Clock, d.Pauses),
 		dialTargets:     make(map[peer.Target]clock.Millis),
 		ownerScans:      make(chan struct{}, 1),
 		quiesced:        make(chan struct{}),
--- a/internal/entrynode/sessions.go
+++ b/internal/entrynode/sessions.go
@@ -18,6 +18,14 @@
 	sidecarPeer
 )
 
+// field returns the role as the field of a log line.
+func (r peerRole) field() zap.Field {
+	if r == sidecarPeer {
+		return zap.String("role", "sidecar")
+	}
+	return zap.String("role", "entry")
+}
+
 // reportTimeout is the time without a report after which a sidecar outside the
 // entry's subset is probed: it reports every 900 ms.
 const reportTimeout = 1500 * clock.Millis(1)
@@ -83,7 +91,7 @@
 		default:
 			return
 		}
-		h.p.deps.Log.Info("session lost", zap.String("peer", string(s.Peer())), zap.Error(err))
+		h.p.deps.Log.Info("session lost", h.role.field(), zap.String("peer", string(s.Peer())), zap.Error(err))
 	})
 }
 
@@ -96,7 +104,7 @@
 	}
 	s.SetOutstanding(!c.Orders.GetLoose())
 	if err := s.Send(wire.Wrap(c.Orders)); err != nil {
-		p.deps.Log.Warn("session closed, frame not queued", zap.String("peer", string(c.Sidecar)), zap.Error(err))
+		p.deps.Log.Warn("session closed, frame not queued", sidecarPeer.field(), zap.String("peer", string(c.Sidecar)), zap.Error(err))
 		s.Close()
 	}
 }
@@ -115,7 +123,7 @@
 	envelope := wire.Wrap(n)
 	for id, s := range p.entrySessions {
 		if err := s.Send(envelope); err != nil {
-			p.deps.Log.Warn("session closed, frame not queued", zap.String("peer", string(id)), zap.Error(err))
+			p.deps.Log.Warn("session closed, frame not queued", entryPeer.field(), zap.String("peer", string(id)), zap.Error(err))
 			s.Close()
 		}
 	}
--- a/internal/sidecarnode/sessions.go
+++ b/internal/sidecarnode/sessions.go
@@ -48,7 +48,7 @@
 		if h.p.sessions[s.Peer()] == s {
 			delete(h.p.sessions, s.Peer())
 			h.p.core.EntryDisconnected(s.Peer())
-			h.p.deps.Log.Info("entry disconnected", zap.String("entry", string(s.Peer())), zap.Error(err))
+			h.p.deps.Log.Info("entry disconnected", zap.String("role", "entry"), zap.String("entry", string(s.Peer())), zap.Error(err))
 		}
 	})
 }
--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -57,6 +57,8 @@
 	Clock     clock.Clock
 	Log       *zap.Logger
 	Frames    peer.FrameCounter
+	// Pauses records the pauses of the process; it may be nil.
+	Pauses *control.Pauses
 }
 
 const (
@@ -125,7 +127,7 @@
 		// the next. If the clock has jumped back, the worker refuses the token and
 		// it is raised.
 		core:          executor.New(int64(d.Clock.Now()), s.MaxLease),
-		control:       control.New(d.Clock),
+		control:       control.New(d.Clock, d.Pauses),
 		workerUpdates: make(chan executor.Worker, 1),
 		sessions:      make(map[ownership.Incarnation]*peer.Session),
 	}
