executor: End a worker's lease before its runs are placed elsewhere

Callers saw one task run twice. A worker without runs had its lease renewed for a second, and a worker never shortens a lease. A start may be based on a report up to 500 ms old, so when the sidecar then died, paused or was cut off, the run went on until up to 1450 ms after the report; its entry places the task elsewhere after 1100 ms. A run could also inherit a longer lease from runs of other entries, whose orders were based on newer reports.

A worker without active runs gets no lease: the start brings its own. With runs the lease is renewed 600 ms ahead at most. The age of an order is now that of its own report: a fence had counted as a fresh one.

--- a/internal/executor/commands.go
+++ b/internal/executor/commands.go
@@ -83,21 +83,26 @@
 	RefusedAttemptKnown RefusalReason = "attempt-known"
 	RefusedNotReady     RefusalReason = "not-ready"
 	RefusedOrderTooOld  RefusalReason = "order-too-old"
+	// RefusedLeaseTooLong means that the worker's lease outlasts the time at which the
+	// entry places the task elsewhere.
+	RefusedLeaseTooLong RefusalReason = "lease-too-long"
 	RefusedNoRoom       RefusalReason = "no-room"
 )
 
 // logRefused logs that an ordered run is not started.
-func (x *Executor) logRefused(now clock.Millis, r *run, reason RefusalReason) {
-	x.commands = append(x.commands, OrderRefused{Run: r.id, Entry: r.owner, Reason: reason, OrderAge: now - x.entry(r.owner).grantedFrom})
+func (x *Executor) logRefused(r *run, reason RefusalReason, orderAge clock.Millis) {
+	x.commands = append(x.commands, OrderRefused{Run: r.id, Entry: r.owner, Reason: reason, OrderAge: orderAge})
 }
 
 // refusalReason returns why a run whose attempt is new is not started.
-func (x *Executor) refusalReason(now clock.Millis, r *run) RefusalReason {
+func (x *Executor) refusalReason(r *run, orderAge clock.Millis) RefusalReason {
 	switch {
 	case !x.ready():
 		return RefusedNotReady
-	case now-x.entry(r.owner).grantedFrom > maxOrderAge:
+	case orderAge > maxOrderAge:
 		return RefusedOrderTooOld
+	case r.bestEffort && x.leaseUntil > x.entry(r.owner).grantedFrom+maxLeaseAfterReport:
+		return RefusedLeaseTooLong
 	}
 	return RefusedNoRoom
 }
--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -94,7 +94,7 @@
 		x.adopt(from, s)
 	}
 	for _, s := range o.GetStarts() {
-		x.enqueue(now, from, e, s)
+		x.enqueue(now, from, clock.Millis(o.GetGrantedFrom()), s)
 	}
 	for _, id := range o.GetStops() {
 		x.handleStop(from, batch.RunIDFromWire(id))
@@ -140,7 +140,8 @@
 }
 
 // enqueue queues a task, or reports it as not started if it cannot be accepted.
-func (x *Executor) enqueue(now clock.Millis, from ownership.Incarnation, e *entry, s *wire.TaskStart) {
+// reportAt is the time of the report on which the order is based.
+func (x *Executor) enqueue(now clock.Millis, from ownership.Incarnation, reportAt clock.Millis, s *wire.TaskStart) {
 	id := batch.RunIDFromWire(s.GetRun())
 	r := &run{
 		id: id, owner: from, resources: resourcesOf(s), sizeKnown: true, spec: s.GetSpec(), priority: int(s.GetPriority()),
@@ -149,13 +150,13 @@
 	if known, ok := x.attempts[id.TaskID]; ok && id.Attempt <= known.number || x.runs[id.TaskID] != nil {
 		// Either another run of the task is here, or the worker would refuse the
 		// attempt because it is not higher than the last one.
-		x.logRefused(now, r, RefusedAttemptKnown)
+		x.logRefused(r, RefusedAttemptKnown, now-reportAt)
 		x.addEvent(r, wire.TaskEvent_STATE_NOT_STARTED)
 		return
 	}
 	x.attempts[id.TaskID] = attempt{number: id.Attempt, at: now}
-	if !x.ready() || now-e.grantedFrom > maxOrderAge || !x.worker.Capacity.Covers(r.resources) {
-		x.logRefused(now, r, x.refusalReason(now, r))
+	if !x.ready() || now-reportAt > maxOrderAge || !x.worker.Capacity.Covers(r.resources) {
+		x.logRefused(r, x.refusalReason(r, now-reportAt), now-reportAt)
 		x.addEvent(r, wire.TaskEvent_STATE_NOT_STARTED)
 		return
 	}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -37,6 +37,15 @@
 	// bestEffortStopMargin is how long the worker's lease outlasts the grant of a
 	// best-effort run: the time allowed for stopping the run.
 	bestEffortStopMargin = 150 * clock.Millis(1)
+	// leaseAhead is how far ahead of the present the worker's lease is renewed. It
+	// outlasts four listings without an answer. It isn't longer because the lease
+	// never shortens, and a run on an older report must not inherit a longer one.
+	leaseAhead = 600 * clock.Millis(1)
+	// maxLeaseAfterReport is how long after the report on which a best-effort run
+	// is based the worker's lease may last when the run starts. The entry places
+	// the task elsewhere 1.1 s after the report; the rest is for the drift of the
+	// worker's clock, 2% of the lease, and for the end of the run.
+	maxLeaseAfterReport = 1 * clock.Second
 	// reportInterval is the longest time between two reports to an entry, except
 	// where LooseReportInterval applies. A grant outlasts several lost reports.
 	reportInterval = 150 * clock.Millis(1)
@@ -303,13 +312,20 @@
 		if r.maxPerWorker > 0 && x.activeOfStep(r.id) >= r.maxPerWorker {
 			continue
 		}
+		if r.bestEffort && x.leaseUntil > x.entry(r.owner).grantedFrom+maxLeaseAfterReport {
+			continue
+		}
+		lease := x.renewLease(now, r)
+		if lease == 0 {
+			continue
+		}
 		r.phase = starting
 		r.orderedAt = now
 		r.startedAt = now
 		r.lastProgressAt = now
 		r.token = x.token
 		x.reserve(r)
-		granted, lease := x.entry(r.owner).grantedFrom, x.renewLease(now)
+		granted := x.entry(r.owner).grantedFrom
 		x.commands = append(x.commands, StartRun{
 			Run: r.id, Spec: r.spec, Token: x.token, LeaseUntil: lease,
 			Entry: r.owner, ReportSentAt: granted, OrderAge: now - granted, LatestLease: x.leaseUntil,
@@ -350,7 +366,8 @@
 func (x *Executor) returnQueued(now clock.Millis) {
 	for _, r := range x.runs {
 		if r.phase == queued {
-			x.logRefused(now, r, x.refusalReason(now, r))
+			orderAge := now - x.entry(r.owner).grantedFrom
+			x.logRefused(r, x.refusalReason(r, orderAge), orderAge)
 			x.returnTask(r)
 		}
 	}
@@ -442,33 +459,41 @@
 const expiryMargin = 150 * clock.Millis(1)
 
 // renewLease returns the new end of the worker's lease, 0 for no renewal, and
-// records it. The lease doesn't outlast the grant of any run, apart from
-// bestEffortStopMargin for best-effort runs.
-func (x *Executor) renewLease(now clock.Millis) clock.Millis {
+// records it. started is a run that is about to start, or nil. The lease doesn't
+// outlast the grant of any run, apart from bestEffortStopMargin for best-effort
+// runs. A worker without active runs needs no lease: the next start sets it.
+func (x *Executor) renewLease(now clock.Millis, started *run) clock.Millis {
 	if x.leaseExpiredBy != 0 {
 		return 0
 	}
-	until := now + x.maxLease
+	until := now + min(x.maxLease, leaseAhead)
+	needed := false
 	for _, r := range x.runs {
-		if r.phase == queued || r.acknowledgeable || r.phase == ended && (r.bestEffort || r.owner == "") {
+		if r != started && r.phase == queued || r.acknowledgeable || r.phase == ended && (r.bestEffort || r.owner == "") {
 			continue
 		}
 		if r.owner == "" {
 			return 0
 		}
-		expiry := x.grantExpiry(r)
-		if r.bestEffort {
-			expiry += bestEffortStopMargin
-		}
-		until = min(until, expiry)
+		needed = needed || r.phase != ended
+		until = min(until, x.leaseLimit(r))
 	}
-	if until <= now {
+	if !needed || until <= now {
 		return 0
 	}
 	x.leaseUntil = max(x.leaseUntil, until)
 	return until
 }
 
+// leaseLimit returns the time past which the worker's lease is not renewed because
+// of a run.
+func (x *Executor) leaseLimit(r *run) clock.Millis {
+	if r.bestEffort {
+		return x.grantExpiry(r) + bestEffortStopMargin
+	}
+	return x.grantExpiry(r)
+}
+
 // advanceCursor advances the cursor over the ends that may be acknowledged, up to
 // the first that may not, and removes their runs.
 func (x *Executor) advanceCursor() {
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -71,7 +71,7 @@
 		// would discard ends that this sidecar has not seen.
 		cursor = 0
 	}
-	return ListRequest{RequestedAt: now, Token: x.token, Cursor: cursor, LeaseUntil: x.renewLease(now)}
+	return ListRequest{RequestedAt: now, Token: x.token, Cursor: cursor, LeaseUntil: x.renewLease(now, nil)}
 }
 
 // WorkerReported handles the worker's report about itself.
