--- /dev/null
+++ b/internal/soak/checker.go
@@ -0,0 +1,303 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/teaseltide/teaseltide/platform/platformtest"
+)
+
+// Rule is the name of a rule that a violation breaks.
+type Rule string
+
+// Violation is a broken rule.
+type Violation struct {
+	// At is the time since the beginning of the faults.
+	At   time.Duration
+	Rule Rule
+	Text string
+}
+
+// Stats counts what happened in a run.
+type Stats struct {
+	Jobs, Submissions, Complete, Failed, Refused, Lost, TimedOut, Starts int
+	// Again counts submissions of a job after a loss.
+	Again int
+}
+
+// String returns the counts as text.
+func (s Stats) String() string {
+	return fmt.Sprintf("%d jobs, %d submissions (%d again), %d complete, %d failed, %d refused, %d timed out, %d lost, %d starts",
+		s.Jobs, s.Submissions, s.Again, s.Complete, s.Failed, s.Refused, s.TimedOut, s.Lost, s.Starts)
+}
+
+type runID struct {
+	worker  string
+	attempt int64
+}
+
+// task is what workers did for a task.
+type task struct {
+	open map[runID]time.Time
+	// overlaps holds the pairs of runs of which the earlier one had not ended
+	// when the later one started.
+	overlaps []overlap
+	starts   []time.Time
+	done     map[runID]time.Time
+	failed   int
+	// acknowledged is the earliest acknowledged end "done".
+	acknowledged time.Time
+	history      []string
+}
+
+type overlap struct {
+	earlier, later runID
+	at             time.Time
+}
+
+// job is what callers saw of a job.
+type job struct {
+	stored    bool
+	tasks     int
+	refusals  int
+	others    int
+	pending   int
+	completed bool
+	history   []string
+}
+
+// Checker judges what callers and workers see.
+type Checker struct {
+	mu         sync.Mutex
+	begin      time.Time
+	tasks      map[string]*task
+	jobs       map[string]*job
+	violations []Violation
+	stats      Stats
+}
+
+// NewChecker returns a Checker whose times count from begin.
+func NewChecker(begin time.Time) *Checker {
+	return &Checker{begin: begin, tasks: make(map[string]*task), jobs: make(map[string]*job)}
+}
+
+func (c *Checker) restartClock() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begin = time.Now()
+}
+
+// Violations returns the violations so far in the order of their times.
+func (c *Checker) Violations() []Violation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	slices.SortStableFunc(c.violations, func(a, b Violation) int { return int(a.At - b.At) })
+	return c.violations
+}
+
+// Stats returns the counts.
+func (c *Checker) Stats() Stats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stats
+}
+
+func (c *Checker) note(Fault) {}
+
+func (c *Checker) report(rule Rule, format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.violate(time.Now(), rule, format, args...)
+}
+
+func (c *Checker) violate(at time.Time, rule Rule, format string, args ...any) {
+	c.violations = append(c.violations, Violation{At: at.Sub(c.begin), Rule: rule, Text: fmt.Sprintf(format, args...)})
+}
+
+func (c *Checker) ms(t time.Time) int64 { return t.Sub(c.begin).Milliseconds() }
+
+func (c *Checker) task(name string) *task {
+	t := c.tasks[name]
+	if t == nil {
+		t = &task{open: make(map[runID]time.Time), done: make(map[runID]time.Time)}
+		c.tasks[name] = t
+	}
+	return t
+}
+
+// describe returns the history of a task and of its job.
+func (c *Checker) describe(name string) string {
+	text := strings.Join(c.tasks[name].history, "; ")
+	if j := c.jobs[jobOf(name)]; j != nil {
+		text += "; job: " + strings.Join(j.history, "; ")
+	}
+	return text
+}
+
+func jobOf(taskName string) string {
+	id, _, _ := strings.Cut(taskName, ".")
+	return id
+}
+
+// RunEvent records an event of a worker.
+func (c *Checker) RunEvent(e platformtest.RunEvent) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.task(e.Task)
+	id := runID{e.Worker, e.Attempt}
+	t.history = append(t.history, fmt.Sprintf("%d %s %s by %s attempt %d", c.ms(e.At), e.Kind, e.Outcome, e.Worker, e.Attempt))
+	switch e.Kind {
+	case platformtest.RunStarted:
+		c.stats.Starts++
+		for other := range t.open {
+			t.overlaps = append(t.overlaps, overlap{other, id, e.At})
+		}
+		t.open[id] = e.At
+		t.starts = append(t.starts, e.At)
+		if j := c.jobs[jobOf(e.Task)]; j != nil && j.stored && !t.acknowledged.IsZero() && e.At.After(t.acknowledged) {
+			c.violate(e.At, "run-after-done", "task %s: %s", e.Task, c.describe(e.Task))
+		}
+		if e.Running > e.Slots {
+			c.violate(e.At, "capacity", "worker %s runs %d tasks and has %d slots", e.Worker, e.Running, e.Slots)
+		}
+	case platformtest.RunEnded:
+		delete(t.open, id)
+		switch e.Outcome {
+		case "done":
+			t.done[id] = e.At
+		case "failed":
+			t.failed++
+		}
+		c.judgeOverlaps(e.Task, t, id, e.At)
+	case platformtest.RunAcknowledged:
+		c.acknowledge(e, t)
+	}
+}
+
+// judgeOverlaps judges the overlaps with a run that has ended. The end of a run
+// may be earlier than its event.
+func (c *Checker) judgeOverlaps(name string, t *task, ended runID, at time.Time) {
+	t.overlaps = slices.DeleteFunc(t.overlaps, func(o overlap) bool {
+		if o.earlier != ended && o.later != ended {
+			return false
+		}
+		if at.After(o.at) {
+			c.violate(o.at, "two-runs", "task %s for %d ms: %s", name, at.Sub(o.at).Milliseconds(), c.describe(name))
+		}
+		return true
+	})
+}
+
+// acknowledge records that the end of a run was acknowledged. No run of the task
+// of a stored job may start after that end, before or after its acknowledgement.
+func (c *Checker) acknowledge(e platformtest.RunEvent, t *task) {
+	j := c.jobs[jobOf(e.Task)]
+	end, ok := t.done[runID{e.Worker, e.Attempt}]
+	if j == nil || !j.stored || !ok || !t.acknowledged.IsZero() && !end.Before(t.acknowledged) {
+		return
+	}
+	t.acknowledged = end
+	for _, at := range t.starts {
+		if at.After(end) {
+			c.violate(at, "run-after-done", "task %s: %s", e.Task, c.describe(e.Task))
+		}
+	}
+}
+
+// submitted records that a caller begins to submit a job.
+func (c *Checker) submitted(id string, stored bool, tasks int, entry string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[id]
+	if j == nil {
+		j = &job{stored: stored, tasks: tasks}
+		c.jobs[id] = j
+		c.stats.Jobs++
+	} else {
+		c.stats.Again++
+	}
+	j.pending++
+	c.stats.Submissions++
+	j.history = append(j.history, fmt.Sprintf("%d submitted at %s", c.ms(time.Now()), entry))
+}
+
+// outcome is how a submission ended for its caller.
+type outcome string
+
+const (
+	refused  outcome = "refused"
+	complete outcome = "complete"
+	failed   outcome = "failed"
+	accepted outcome = "accepted"
+	timedOut outcome = "timed-out"
+	lost     outcome = "lost"
+)
+
+// answered records the outcome of a submission.
+func (c *Checker) answered(id, entry string, o outcome, detail string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	j := c.jobs[id]
+	j.pending--
+	j.history = append(j.history, fmt.Sprintf("%d %s by %s %s", c.ms(now), o, entry, detail))
+	if o == refused {
+		j.refusals++
+		c.stats.Refused++
+		return
+	}
+	j.others++
+	switch o {
+	case complete:
+		c.stats.Complete++
+		c.checkComplete(id, j)
+	case failed:
+		c.stats.Failed++
+		c.checkFailed(id, j)
+	case timedOut:
+		c.stats.TimedOut++
+	case lost:
+		c.stats.Lost++
+	}
+}
+
+// checkComplete checks that all tasks of a job have ended done.
+func (c *Checker) checkComplete(id string, j *job) {
+	for i := range j.tasks {
+		name := fmt.Sprintf("%s.0.0.%d", id, i)
+		if t := c.task(name); len(t.done) == 0 {
+			c.violate(time.Now(), "incomplete", "job is shown as complete, task %s has not ended done: %s", name, c.describe(name))
+		}
+	}
+}
+
+// checkFailed checks that a task of a job has failed as often as the
+// configuration says.
+func (c *Checker) checkFailed(id string, j *job) {
+	const maxAttempts = 3
+	for i := range j.tasks {
+		if c.task(fmt.Sprintf("%s.0.0.%d", id, i)).failed >= maxAttempts {
+			return
+		}
+	}
+	c.violate(time.Now(), "failed-without-cause", "job %s: %s", id, strings.Join(j.history, "; "))
+}
+
+// finish judges what can be judged at the end only. Its callers have ended and
+// the workers are closed.
+func (c *Checker) finish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, t := range c.tasks {
+		for _, o := range t.overlaps {
+			c.violate(o.at, "two-runs", "task %s until the end: %s", name, c.describe(name))
+		}
+		j := c.jobs[jobOf(name)]
+		if j != nil && j.refusals > 0 && j.others == 0 && j.pending == 0 && len(t.starts) > 0 {
+			c.violate(t.starts[0], "refused-runs", "task %s: %s", name, c.describe(name))
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/schedule.go
@@ -0,0 +1,207 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"github.com/teaseltide/teaseltide/pkg/clock"
+)
+
+// Role is the role of a process.
+type Role string
+
+// Roles of processes.
+const (
+	Entry   Role = "entry"
+	Sidecar Role = "sidecar"
+)
+
+// FaultKind is the kind of a fault.
+type FaultKind string
+
+// Kinds of faults.
+const (
+	// Pause stops processes with SIGSTOP and continues them.
+	Pause FaultKind = "pause"
+	// Terminate is a planned stop with SIGTERM and a restart.
+	Terminate FaultKind = "terminate"
+	// Kill ends processes with SIGKILL and restarts them.
+	Kill FaultKind = "kill"
+	// Delay delays what passes a link, Reset ends its connections, CutForward
+	// and CutBackward hold back what passes in one direction, and Silence drops
+	// all that passes on the open connections for good.
+	Delay       FaultKind = "delay"
+	Reset       FaultKind = "reset"
+	CutForward  FaultKind = "cut-forward"
+	CutBackward FaultKind = "cut-backward"
+	Silence     FaultKind = "silence"
+	// StoreDown, StoreSlow and StoreLoses make the store answer some processes
+	// with 503, late, or not at all after it has carried out the call.
+	StoreDown  FaultKind = "store-down"
+	StoreSlow  FaultKind = "store-slow"
+	StoreLoses FaultKind = "store-loses-answers"
+	// LateStarts and LateStops make a worker leave the next calls unanswered and
+	// carry them out late.
+	LateStarts FaultKind = "late-starts"
+	LateStops  FaultKind = "late-stops"
+	// Crash ends a worker, which restarts under its ID.
+	Crash    FaultKind = "worker-crash"
+	SlowRuns FaultKind = "slow-runs"
+	FailRuns FaultKind = "fail-runs"
+	// Reconfigure writes a new version of the configuration.
+	Reconfigure FaultKind = "reconfigure"
+)
+
+// Link is a kind of connection that passes a proxy.
+type Link string
+
+// Links.
+const (
+	// Frontend is the link from callers to an entry.
+	Frontend Link = "frontend"
+	// Sessions is the link from entries to a process.
+	Sessions Link = "sessions"
+	// App is the link from a sidecar to its worker, Reports the reverse one.
+	App     Link = "app"
+	Reports Link = "reports"
+)
+
+// Fault is a fault of a schedule.
+type Fault struct {
+	At   clock.Millis
+	Kind FaultKind
+	Role Role
+	// Targets are the numbers of the processes or workers.
+	Targets []int
+	Link    Link
+	// For is how long the fault lasts or, for Terminate and Kill, how long after
+	// its end a process is restarted.
+	For clock.Millis
+	// Amount is the delay in ms, the number of calls, or the factor in percent.
+	Amount int
+}
+
+// String returns the fault as a line of text.
+func (f Fault) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%5d %s", f.At, f.Kind)
+	if f.Link != "" {
+		fmt.Fprintf(&b, " link=%s", f.Link)
+	}
+	if len(f.Targets) > 0 {
+		fmt.Fprintf(&b, " %s=%s", f.Role, strings.ReplaceAll(strings.Trim(fmt.Sprint(f.Targets), "[]"), " ", ","))
+	}
+	if f.For > 0 {
+		fmt.Fprintf(&b, " for=%d", f.For)
+	}
+	if f.Amount > 0 {
+		fmt.Fprintf(&b, " amount=%d", f.Amount)
+	}
+	return b.String()
+}
+
+// Schedule is a list of faults in the order of their times.
+type Schedule []Fault
+
+// String returns a line of text for each fault.
+func (s Schedule) String() string {
+	var b strings.Builder
+	for _, f := range s {
+		fmt.Fprintln(&b, f)
+	}
+	return b.String()
+}
+
+// AllKinds are the kinds of faults; those that are listed twice are drawn more
+// often.
+var AllKinds = []FaultKind{
+	Pause, Pause, Pause, Pause, Terminate, Terminate, Kill, Kill, Delay, Reset, CutForward, CutBackward, Silence, StoreDown, StoreSlow, StoreLoses,
+	LateStarts, LateStarts, LateStops, LateStops, Crash, SlowRuns, FailRuns, Reconfigure,
+}
+
+// Draw draws a schedule. A seed has a few kinds only, so that combinations of
+// faults come in series as well as mixed.
+func Draw(rng *rand.Rand, size Size, kinds []FaultKind) Schedule {
+	if len(kinds) == 0 {
+		for range 3 + rng.IntN(5) {
+			kinds = append(kinds, AllKinds[rng.IntN(len(AllKinds))])
+		}
+	}
+	end := clock.FromDuration(faultPeriod)
+	gap := 150 + rng.Int64N(900)
+	var s Schedule
+	for at := clock.Millis(300); at < end; at += clock.Millis(20 + rng.Int64N(2*gap)) {
+		f := drawFault(rng, size, kinds[rng.IntN(len(kinds))])
+		f.At = at
+		s = append(s, f)
+	}
+	return s
+}
+
+func between(rng *rand.Rand, low, high int) clock.Millis {
+	return clock.Millis(low + rng.IntN(high-low))
+}
+
+func drawFault(rng *rand.Rand, size Size, kind FaultKind) Fault {
+	f := Fault{Kind: kind, Role: Sidecar}
+	if rng.IntN(2) == 0 {
+		f.Role = Entry
+	}
+	switch kind {
+	case Pause:
+		f.For = between(rng, 200, 4000)
+	case Terminate, Kill:
+		f.For = between(rng, 50, 2500)
+	case Delay, Reset, CutForward, CutBackward, Silence:
+		f.Link = []Link{Frontend, Sessions, Sessions, App, Reports}[rng.IntN(5)]
+		f.For = between(rng, 200, 4000)
+		f.Amount = 20 + rng.IntN(600)
+		if f.Link == Frontend {
+			f.Role = Entry
+		} else if f.Link != Sessions {
+			f.Role = Sidecar
+		}
+		if kind != Delay {
+			f.Amount = 0
+		}
+		if kind == Reset || kind == Silence {
+			f.For = 0
+		}
+	case StoreDown, StoreSlow, StoreLoses:
+		f.For = between(rng, 200, 5000)
+		if kind == StoreSlow {
+			f.Amount = 50 + rng.IntN(900)
+		}
+	case Reconfigure:
+		return f
+	default:
+		f.Role = Sidecar
+		f.For = between(rng, 100, 3000)
+		f.Amount = 1 + rng.IntN(8)
+		if kind == SlowRuns {
+			f.Amount = 150 + rng.IntN(500)
+		}
+	}
+	f.Targets = drawTargets(rng, f.Role, size)
+	return f
+}
+
+// drawTargets mostly returns one process, sometimes a group or all.
+func drawTargets(rng *rand.Rand, role Role, size Size) []int {
+	n := size.Sidecars
+	if role == Entry {
+		n = size.Entries
+	}
+	count := 1
+	switch p := rng.IntN(20); {
+	case p == 0:
+		count = n
+	case p < 7:
+		count = 1 + rng.IntN(max(1, (n+1)/2))
+	}
+	targets := rng.Perm(n)[:count]
+	slices.Sort(targets)
+	return targets
+}
