scheduler: Match the end of a run by worker and attempt

Callers of best-effort jobs saw a task run twice at once: two entries that hold a job one after the other both begin at attempt 1, and handleLost, handleFailed and handleDone compared the attempt only. The end of a run that another entry had ordered on another worker unbound this entry's active run, which was then started again beside it, or ended the job while its run went on.

An end now counts only if it is of the worker and the attempt that the task is bound to. Higher attempts of other runs raise a floor for the next start and leave the attempt of the active run.

--- a/internal/scheduler/besteffort.go
+++ b/internal/scheduler/besteffort.go
@@ -207,7 +207,7 @@
 		n.callerSeenAt = j.resubmitted.receivedAt
 		// Workers refuse attempts that are not higher than the previous ones.
 		for i := range j.tasks {
-			n.baseAttempt = max(n.baseAttempt, j.tasks[i].attempt)
+			n.baseAttempt = max(n.baseAttempt, j.tasks[i].attempt, j.tasks[i].attemptFloor)
 		}
 	}
 }
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -23,8 +23,11 @@
 	step, index int
 	state       taskState
 	attempt     batch.Attempt
-	node        Address
-	boundAt     clock.Millis
+	// attemptFloor is the highest attempt of any run of the task, also of those that
+	// another entry ordered. Workers refuse starts that are not above it.
+	attemptFloor batch.Attempt
+	node         Address
+	boundAt      clock.Millis
 	// sequence is that of the orders with the start, 0 for an adopted run.
 	sequence int64
 	failures int
@@ -37,6 +40,21 @@
 	failedWorkers []Address
 }
 
+// isBoundTo reports whether a run on a worker is the task's current one. The attempt
+// alone does not identify a run: two entries that hold a best-effort job one after the
+// other may order the same attempt from two workers.
+func (t *task) isBoundTo(n *node, id batch.RunID) bool {
+	return t.state == taskBound && t.attempt == id.Attempt && t.node == n.address
+}
+
+// recordAttempt makes later attempts of the task higher than this one.
+func (t *task) recordAttempt(a batch.Attempt) {
+	t.attemptFloor = max(t.attemptFloor, a)
+	if t.state != taskBound {
+		t.attempt = max(t.attempt, a)
+	}
+}
+
 // boundTask is a task with its job.
 type boundTask struct {
 	job  *job
@@ -46,7 +64,7 @@
 // bind binds a pending task to a worker and orders its start.
 func (s *Scheduler) bind(now clock.Millis, j *job, t *task, n *node) {
 	t.state = taskBound
-	t.attempt = max(t.attempt, j.baseAttempt) + 1
+	t.attempt = max(t.attempt, t.attemptFloor, j.baseAttempt) + 1
 	t.node = n.address
 	t.boundAt = now
 	t.sequence = n.sequence + 1
@@ -108,7 +126,7 @@
 	case wire.TaskEvent_STATE_STOPPED, wire.TaskEvent_STATE_LOST, wire.TaskEvent_STATE_STALLED:
 		s.handleLost(now, n, j, t, id, e.GetState() == wire.TaskEvent_STATE_STALLED)
 	case wire.TaskEvent_STATE_NOT_STARTED:
-		if t.state == taskBound && t.attempt == id.Attempt && t.node == n.address {
+		if t.isBoundTo(n, id) {
 			s.counters.NotStarted++
 			s.unbind(j, t)
 			s.advance(now, j)
@@ -144,7 +162,7 @@
 		j.started = true
 	}
 	switch {
-	case t.state == taskBound && t.attempt == id.Attempt && t.node == n.address:
+	case t.isBoundTo(n, id):
 	case t.state == taskDone || t.attempt > id.Attempt || t.state == taskBound:
 		// The run was abandoned before.
 		n.releaseRun(id)
@@ -178,7 +196,12 @@
 		n.releaseRun(id)
 		return
 	}
-	if t.attempt > id.Attempt {
+	if t.state == taskBound && !t.isBoundTo(n, id) && j.BestEffort {
+		t.recordAttempt(id.Attempt)
+		n.releaseRun(id)
+		return
+	}
+	if t.attempt > id.Attempt || t.state == taskBound && !t.isBoundTo(n, id) {
 		// The run was abandoned and the task may run elsewhere, so this end must not be
 		// acknowledged; its worker's lease has to expire first.
 		s.pendingCommands = append(s.pendingCommands, Decision{Summary: "end of superseded attempt ignored", Job: j.ID, Run: id, Sidecar: n.address})
@@ -232,18 +255,18 @@
 		s.recordFailure(now, n, t)
 	}
 	s.recordUnstoredEnd(now, n, j, id)
-	if t.state == taskBound && t.attempt == id.Attempt {
+	if t.isBoundTo(n, id) {
 		s.unbind(j, t)
 	}
-	t.attempt = max(t.attempt, id.Attempt)
+	t.recordAttempt(id.Attempt)
 	s.advance(now, j)
 }
 
 // handleLost handles a run that ended without a result.
 func (s *Scheduler) handleLost(now clock.Millis, n *node, j *job, t *task, id batch.RunID, stalled bool) {
 	n.orders().Stored = append(n.orders().Stored, id.Wire())
-	if t.state != taskBound || t.attempt != id.Attempt {
-		t.attempt = max(t.attempt, id.Attempt)
+	if !t.isBoundTo(n, id) {
+		t.recordAttempt(id.Attempt)
 		return
 	}
 	s.counters.Lost++
