scheduler: Give the best-effort runs of each entry their own attempts

A worker and a restarted sidecar know a run by its task and attempt only. Two entries that hold a best-effort job one after the other both began at attempt 1, so an entry took the other one's run for its own, and its own refused start for the end of the run that it had been told of. It started the task elsewhere while the other run was active.

Attempts of an entry for best-effort jobs now have a residue modulo 2^20 that is derived from its incarnation. No clock is used, so an entry whose clock is behind is not refused for that. A refusal tells the highest attempt that the sidecar knows (TaskEvent.highest_attempt), and the next attempt is above it: one refused order instead of one for each attempt of the other entry. Stored jobs keep their attempts.

TestAttemptsOfEntriesDiffer failed with the earlier numbers: "attempt 1 of entry 1 was ordered before", and "starts after a refusal below attempt: got 7, want one above it".

--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -151,6 +151,7 @@
 		// Either another run of the task is here, or the worker would refuse the
 		// attempt because it is not higher than the last one.
 		x.logRefused(r, RefusedAttemptKnown, now-reportAt)
+		r.highestAttempt = known.number
 		x.addEvent(r, wire.TaskEvent_STATE_NOT_STARTED)
 		return
 	}
@@ -205,7 +206,7 @@
 	if e == nil || !e.connected {
 		return
 	}
-	e.events = append(e.events, &wire.TaskEvent{Run: r.id.Wire(), State: state, RunMs: int64(r.runTime), BestEffort: r.bestEffort})
+	e.events = append(e.events, &wire.TaskEvent{Run: r.id.Wire(), State: state, RunMs: int64(r.runTime), BestEffort: r.bestEffort, HighestAttempt: int64(r.highestAttempt)})
 	// The start of a best-effort run isn't urgent: nothing depends on it.
 	e.urgent = e.urgent || state != wire.TaskEvent_STATE_RUNNING || !r.bestEffort
 }
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -127,6 +127,8 @@
 	// worker.
 	discoveredAt clock.Millis
 	bestEffort   bool
+	// highestAttempt is that of the task, if the order had no higher one.
+	highestAttempt batch.Attempt
 	// resolveRequestedAt is when an entry was last asked to look up the job.
 	resolveRequestedAt clock.Millis
 }
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -570,3 +570,31 @@
 	}
 	return out
 }
+
+// Guards against an entry that repeats a refused start many times: the sidecar must tell
+// the attempt that the next one has to exceed.
+func TestRefusalTellsTheHighestAttempt(t *testing.T) {
+	h := newHarness(t)
+	h.x.EntryConnected(entryB)
+	h.tick()
+	high := runID("j")
+	high.Attempt = 40
+	h.x.OrdersReceived(h.now, entryA, h.orders(start(high, 6000, true)))
+	h.tick()
+	h.take()
+	h.x.OrdersReceived(h.now, entryB, h.orders(start(runID("j"), 6000, true)))
+	h.tick()
+	var got []int64
+	for _, c := range h.take() {
+		if r, ok := c.(executor.Report); ok && r.Entry == entryB {
+			for _, e := range r.Report.GetEvents() {
+				if batch.RunIDFromWire(e.GetRun()) == runID("j") {
+					got = append(got, e.GetHighestAttempt())
+				}
+			}
+		}
+	}
+	if len(got) != 1 || got[0] != 40 {
+		t.Errorf("highest attempt in the refusal: got %v, want [40]", got)
+	}
+}
--- a/internal/scheduler/identity_test.go
+++ b/internal/scheduler/identity_test.go
@@ -70,3 +70,35 @@
 	}
 	return address(0)
 }
+
+// Guards against runs of two entries that nothing distinguishes: both began at attempt
+// 1, and a worker lists a run by its task and attempt only. A refused start must also
+// not be repeated below the attempts that the sidecar knows, also those of an entry
+// whose numbers are higher.
+func TestAttemptsOfEntriesDiffer(t *testing.T) {
+	a := newTestbed(t, 1)
+	b := newTestbedOf(t, "entry-b", 1)
+	seen := make(map[batch.Attempt]bool)
+	for i, bed := range []*testbed{a, b} {
+		bed.submit(job("j", 1, true))
+		for range 5 {
+			starts := bed.starts()
+			if len(starts) != 1 {
+				t.Fatalf("starts of entry %d: got %d, want 1", i, len(starts))
+			}
+			if seen[starts[0].run.Attempt] {
+				t.Errorf("attempt %d of entry %d was ordered before", starts[0].run.Attempt, i)
+			}
+			seen[starts[0].run.Attempt] = true
+			bed.report(starts[0].at, event(starts[0].run, wire.TaskEvent_STATE_NOT_STARTED))
+		}
+		refused := bed.starts()[0]
+		const known = batch.Attempt(7_654_321_000)
+		notStarted := event(refused.run, wire.TaskEvent_STATE_NOT_STARTED)
+		notStarted.HighestAttempt = int64(known)
+		bed.report(refused.at, notStarted)
+		if next := bed.starts(); len(next) != 1 || next[0].run.Attempt <= known {
+			t.Errorf("starts after a refusal below attempt %d: got %v, want one above it", known, next)
+		}
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -53,7 +53,9 @@
 type Scheduler struct {
 	settings Settings
 	rand     *rand.Rand
-	jobs     map[batch.JobID]*job
+	// attemptResidue is that of the attempts of this entry's best-effort jobs.
+	attemptResidue batch.Attempt
+	jobs           map[batch.JobID]*job
 	// queue holds the jobs with pending tasks, most urgent first.
 	queue []*job
 	ended map[batch.JobID]endedJob
@@ -127,6 +129,7 @@
 func New(s Settings) *Scheduler {
 	return &Scheduler{
 		settings:            s,
+		attemptResidue:      attemptResidue(s.Self),
 		rand:                rand.New(rand.NewPCG(s.Seed, s.Seed)), //nolint:gosec // spreads load, nothing secret
 		jobs:                make(map[batch.JobID]*job),
 		ended:               make(map[batch.JobID]endedJob),
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -3,7 +3,10 @@
 import (
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/teaseltide/teaseltide/internal/batch"
+	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/wire"
 	"github.com/teaseltide/teaseltide/pkg/clock"
 )
@@ -64,7 +67,7 @@
 // bind binds a pending task to a worker and orders its start.
 func (s *Scheduler) bind(now clock.Millis, j *job, t *task, n *node) {
 	t.state = taskBound
-	t.attempt = max(t.attempt, t.attemptFloor, j.baseAttempt) + 1
+	t.attempt = s.nextAttempt(j, t)
 	t.node = n.address
 	t.boundAt = now
 	t.sequence = n.sequence + 1
@@ -79,6 +82,32 @@
 	s.counters.Starts++
 }
 
+// attemptsPerEntry is the distance of two attempts of one entry for a task of a
+// best-effort job; each entry uses its own residue. 2^20 makes it unlikely that two of
+// 200 entries share one, and leaves 2^33 starts below the 2^53 that JSON readers keep
+// exactly.
+const attemptsPerEntry = 1 << 20
+
+// nextAttempt returns the attempt of the task's next run. A worker lists its runs by
+// attempt only, so two entries that hold a best-effort job one after the other must not
+// use the same ones. Stored jobs have one owner at a time, which attemptsPerOwner
+// separates.
+func (s *Scheduler) nextAttempt(j *job, t *task) batch.Attempt {
+	last := max(t.attempt, t.attemptFloor, j.baseAttempt)
+	if !j.BestEffort {
+		return last + 1
+	}
+	next := last - last%attemptsPerEntry + s.attemptResidue
+	if next <= last {
+		next += attemptsPerEntry
+	}
+	return next
+}
+
+func attemptResidue(self ownership.Incarnation) batch.Attempt {
+	return 1 + batch.Attempt(xxhash.Sum64String(string(self))%(attemptsPerEntry-1))
+}
+
 func (s *Scheduler) startOrder(j *job, t *task, spec string) *wire.TaskStart {
 	step := &j.Steps[t.step]
 	return &wire.TaskStart{
@@ -126,6 +155,8 @@
 	case wire.TaskEvent_STATE_STOPPED, wire.TaskEvent_STATE_LOST, wire.TaskEvent_STATE_STALLED:
 		s.handleLost(now, n, j, t, id, e.GetState() == wire.TaskEvent_STATE_STALLED)
 	case wire.TaskEvent_STATE_NOT_STARTED:
+		// The task would be refused again until its attempt is higher.
+		t.recordAttempt(batch.Attempt(e.GetHighestAttempt()))
 		if t.isBoundTo(n, id) {
 			s.counters.NotStarted++
 			s.unbind(j, t)
