executor: Repeat stops until the end is listed and bound the lease

Callers saw one task run twice after an entry had given up its job. A stop was one command that the process tried three times; a refusal because of the fencing token, which each unanswered start raises, counted as carried out. The entry went on granting for the job, so the lease was renewed as long as the run went on. The caller submits the job again 1.3 s after it lost its connection.

The core now repeats a stop every 150 ms, with the current token, until the end is listed; the process makes one call of at most 140 ms for each. A refused token is reported to the core, which sends the stop again at once. Later grants don't cover a best-effort run that its entry has stopped or released: unless it ends, the lease ends 600 ms after the order. A released run that still ran was left out of the lease altogether. A run stopped for lack of progress keeps its grant.

--- a/internal/executor/commands.go
+++ b/internal/executor/commands.go
@@ -28,8 +28,9 @@
 	LatestLease clock.Millis
 }
 
-// StopRun calls the worker to stop a run. The end of the run appears in a later
-// listing.
+// StopRun calls the worker once to stop a run; a refusal of its token is passed to
+// StopFenced. The end of the run appears in a later listing; until then the command
+// is repeated.
 type StopRun struct {
 	Run    batch.RunID
 	Token  int64
--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -97,7 +97,7 @@
 		x.enqueue(now, from, clock.Millis(o.GetGrantedFrom()), s)
 	}
 	for _, id := range o.GetStops() {
-		x.handleStop(from, batch.RunIDFromWire(id))
+		x.handleStop(now, from, batch.RunIDFromWire(id))
 	}
 	for _, id := range o.GetStored() {
 		if r := x.findRun(batch.RunIDFromWire(id)); r != nil && r.phase == ended {
@@ -105,7 +105,7 @@
 		}
 	}
 	for _, id := range o.GetReleases() {
-		x.handleRelease(batch.RunIDFromWire(id))
+		x.handleRelease(now, batch.RunIDFromWire(id))
 	}
 }
 
@@ -166,7 +166,7 @@
 }
 
 // handleStop stops a run, or reports it as not started if it has not begun.
-func (x *Executor) handleStop(from ownership.Incarnation, id batch.RunID) {
+func (x *Executor) handleStop(now clock.Millis, from ownership.Incarnation, id batch.RunID) {
 	r := x.findRun(id)
 	switch {
 	case r == nil:
@@ -179,13 +179,13 @@
 	case r.phase == queued:
 		x.returnTask(r)
 	case r.phase != ended:
-		x.stop(r, StopOrdered)
+		x.stopByOrder(now, r, StopOrdered)
 	}
 }
 
 // handleRelease stops a run whose job is no longer open and permits its end to be
 // acknowledged.
-func (x *Executor) handleRelease(id batch.RunID) {
+func (x *Executor) handleRelease(now clock.Millis, id batch.RunID) {
 	r := x.findRun(id)
 	if r == nil {
 		return
@@ -196,7 +196,7 @@
 	}
 	r.acknowledgeable = true
 	if r.phase != ended {
-		x.stop(r, StopReleased)
+		x.stopByOrder(now, r, StopReleased)
 	}
 }
 
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -46,6 +46,16 @@
 	// the task elsewhere 1.1 s after the report; the rest is for the drift of the
 	// worker's clock, 2% of the lease, and for the end of the run.
 	maxLeaseAfterReport = 1 * clock.Second
+	// stopRetryInterval is the time after which a stop is repeated if the end of the
+	// run is not listed. The worker ends a run within 50 ms of a stop, and the next
+	// listing follows within 106 ms. A call that gets no answer ends before the
+	// next one.
+	stopRetryInterval = 150 * clock.Millis(1)
+	// stoppedGrantDuration is how long a best-effort run continues, if no stop has
+	// an effect, after its entry ordered the stop; the lease ends
+	// bestEffortStopMargin later. It spans three stops. The caller may submit the
+	// job again 1.3 s after the entry gave it up.
+	stoppedGrantDuration = 450 * clock.Millis(1)
 	// reportInterval is the longest time between two reports to an entry, except
 	// where LooseReportInterval applies. A grant outlasts several lost reports.
 	reportInterval = 150 * clock.Millis(1)
@@ -104,6 +114,11 @@
 	phase         phase
 	stopping      bool
 	stopReason    StopReason
+	// stopSentAt is when the worker was last asked to stop the run.
+	stopSentAt clock.Millis
+	// stopOrderedAt is when an entry ordered the stop, 0 for a run that is not
+	// stopped or that this sidecar stopped.
+	stopOrderedAt clock.Millis
 	// token is the fencing token of the start.
 	token     int64
 	orderedAt clock.Millis
@@ -245,6 +260,7 @@
 func (x *Executor) Tick(now clock.Millis) []Command {
 	x.checkGrants(now)
 	x.checkProgress(now)
+	x.repeatStops(now)
 	x.startQueued(now)
 	x.returnQueued(now)
 	x.offerCapacity(now)
@@ -387,19 +403,49 @@
 	for _, r := range x.runs {
 		if r.phase == running && !r.stopping && now-r.lastProgressAt >= max(minStallTime, clock.Millis(stallFraction*float64(r.estimatedTime))) {
 			r.stalled = true
-			x.stop(r, StopNoProgress)
+			x.stop(now, r, StopNoProgress)
 		}
 	}
 }
 
 // stop asks the worker to stop a run, unless it was asked before.
-func (x *Executor) stop(r *run, reason StopReason) {
-	if r.stopping {
-		return
+func (x *Executor) stop(now clock.Millis, r *run, reason StopReason) {
+	if !r.stopping {
+		r.stopReason = reason
+		x.sendStop(now, r)
 	}
+}
+
+func (x *Executor) sendStop(now clock.Millis, r *run) {
 	r.stopping = true
-	r.stopReason = reason
-	x.commands = append(x.commands, StopRun{Run: r.id, Token: x.token, Entry: r.owner, Reason: reason})
+	r.stopSentAt = now
+	x.commands = append(x.commands, StopRun{Run: r.id, Token: x.token, Entry: r.owner, Reason: r.stopReason})
+}
+
+// stopByOrder stops a run that its entry gave up.
+func (x *Executor) stopByOrder(now clock.Millis, r *run, reason StopReason) {
+	if r.stopOrderedAt == 0 {
+		r.stopOrderedAt = now
+	}
+	x.stop(now, r, reason)
+}
+
+// repeatStops repeats the stops that had no effect so far.
+func (x *Executor) repeatStops(now clock.Millis) {
+	for _, r := range x.runs {
+		if r.stopping && r.phase != ended && now-r.stopSentAt >= stopRetryInterval {
+			x.sendStop(now, r)
+		}
+	}
+}
+
+// StopFenced handles the worker's refusal of a stop because of its token. The stop
+// is repeated with the next tick.
+func (x *Executor) StopFenced(id batch.RunID, token int64) {
+	x.TokenRefused(token)
+	if r := x.findRun(id); r != nil {
+		r.stopSentAt = 0
+	}
 }
 
 // checkGrants abandons the runs whose grant has expired, as their entries may have
@@ -419,7 +465,7 @@
 			continue
 		}
 		if r.bestEffort || r.owner == "" {
-			x.abandon(r)
+			x.abandon(now, r)
 			continue
 		}
 		x.leaseExpiredBy = max(now, x.leaseUntil) + expiryMargin
@@ -444,13 +490,13 @@
 // abandon stops a best-effort run whose grant has expired or an unclaimed run. The
 // end of an unclaimed run may belong to a stored job, so it is not acknowledged
 // until an entry has looked up the job.
-func (x *Executor) abandon(r *run) {
+func (x *Executor) abandon(now clock.Millis, r *run) {
 	if r.phase != ended {
 		reason := StopGrantOver
 		if r.owner == "" {
 			reason = StopUnclaimed
 		}
-		x.stop(r, reason)
+		x.stop(now, r, reason)
 		return
 	}
 	r.acknowledgeable = r.bestEffort
@@ -471,10 +517,10 @@
 	until := now + min(x.maxLease, leaseAhead)
 	needed := false
 	for _, r := range x.runs {
-		if r != started && r.phase == queued || r.acknowledgeable || r.phase == ended && (r.bestEffort || r.owner == "") {
+		if r != started && r.phase == queued || r.phase == ended && (r.acknowledgeable || r.bestEffort || r.owner == "") {
 			continue
 		}
-		if r.owner == "" {
+		if r.owner == "" && !r.acknowledgeable {
 			return 0
 		}
 		needed = needed || r.phase != ended
@@ -488,9 +534,14 @@
 }
 
 // leaseLimit returns the time past which the worker's lease is not renewed because
-// of a run.
+// of a run. Later grants don't cover a best-effort run that its entry gave up.
 func (x *Executor) leaseLimit(r *run) clock.Millis {
-	if r.bestEffort {
+	switch {
+	case r.bestEffort && r.stopOrderedAt != 0:
+		return min(x.grantExpiry(r), r.stopOrderedAt+stoppedGrantDuration) + bestEffortStopMargin
+	case r.acknowledgeable:
+		return r.stopOrderedAt + stoppedGrantDuration + bestEffortStopMargin
+	case r.bestEffort:
 		return x.grantExpiry(r) + bestEffortStopMargin
 	}
 	return x.grantExpiry(r)
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -171,7 +171,7 @@
 		r.lastProgressAt = now
 		x.addEvent(r, wire.TaskEvent_STATE_RUNNING)
 		if r.stopping {
-			x.commands = append(x.commands, StopRun{Run: r.id, Token: x.token, Entry: r.owner, Reason: r.stopReason})
+			x.sendStop(now, r)
 		}
 	case StartRefused, StartFenced:
 		x.release(r)
--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -39,7 +39,8 @@
 type Worker interface {
 	// Start starts a run.
 	Start(ctx context.Context, start executor.StartRun) executor.StartResult
-	// Stop stops a run. A run that has ended is ignored.
+	// Stop stops a run. A run that has ended is ignored. The error is ErrFenced if
+	// the worker has seen a higher token.
 	Stop(ctx context.Context, stop executor.StopRun) error
 	// List lists the runs and renews the lease. It waits up to wait for a run to
 	// end. The error is ErrFenced if the worker has seen a higher token.
@@ -70,9 +71,11 @@
 	// resolved by a listing under a higher token. The objective of the shortest
 	// jobs leaves 100 ms for both and for a start on another worker.
 	startTimeout = 40 * time.Millisecond
-	// stopTimeout bounds the wait for the answer to a stop; without one, the stop
-	// is retried. It also bounds the flush of sessions at exit.
-	stopTimeout = 300 * time.Millisecond
+	// stopTimeout bounds the wait for the answer to a stop. The core repeats a stop
+	// after 150 ms, so at most one call for a run is in flight.
+	stopTimeout = 140 * time.Millisecond
+	// flushTimeout bounds the flush of sessions at exit, a few round trips.
+	flushTimeout = 300 * time.Millisecond
 	// listWait is how long a listing waits for a run to end. Each listing renews
 	// the worker's lease, so several must fit into the longest lease.
 	listWait = 100 * clock.Millis(1)
@@ -156,7 +159,7 @@
 	go p.register(work)
 	go p.persistWorker(work)
 	p.control.Run(ctx, tickInterval, p.beginDrain, p.tick)
-	flush, done := context.WithTimeout(context.Background(), stopTimeout)
+	flush, done := context.WithTimeout(context.Background(), flushTimeout)
 	defer done()
 	node.Close(flush)
 	return nil
@@ -225,18 +228,18 @@
 	p.push(func(now clock.Millis) { p.core.StartAnswered(now, c.Run, c.Token, result) })
 }
 
-// stopRun stops a run and retries if there is no answer; the worker ignores a stop
-// of a run that has ended.
+// stopRun calls the worker once; the core repeats a stop that had no effect. The
+// worker ignores a stop of a run that has ended.
 func (p *Process) stopRun(c executor.StopRun) {
-	for range 3 {
-		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-		err := p.deps.Worker.Stop(ctx, c)
-		cancel()
-		if err == nil {
-			return
-		}
-		p.deps.Log.Info("stop not acknowledged", runField(c.Run), zap.Error(err))
-		time.Sleep(retryPause)
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	err := p.deps.Worker.Stop(ctx, c)
+	if err == nil {
+		return
+	}
+	p.deps.Log.Info("stop not acknowledged", runField(c.Run), zap.Int64("token", c.Token), zap.Error(err))
+	if errors.Is(err, ErrFenced) {
+		p.push(func(clock.Millis) { p.core.StopFenced(c.Run, c.Token) })
 	}
 }
 
