Sample log lines by job, bound those of jobs in trouble, count reasons

The sampler of the log wrote the first 20 lines a second of each message and then every hundredth. Of a job with many runs some lines were there and others not, different ones at each process, so no story could be read.

A hash of the job's id now decides: one of 16 jobs has all its lines, at all processes alike. Lines of jobs in trouble are always written, up to 200 a second for each process; a counter and a line each second tell how many were left out. Lines without a job keep the sampler. An entry logs when and why a caller left. Entries count refused and given-up jobs and lost callers by reason, sidecars their starts, stops, ends and refused orders.

A line that is left out allocates nothing.

--- a/internal/entrynode/callers.go
+++ b/internal/entrynode/callers.go
@@ -104,6 +104,7 @@
 // best-effort job, which is abandoned when ctx ends or its caller is gone, Ended,
 // NotStored or Unknown.
 func (p *Process) Submit(ctx context.Context, job batch.Job, caller Caller) scheduler.Reply {
+	submittedAt := p.deps.Clock.Now()
 	reply := p.awaitReply(ctx, caller, func(now clock.Millis, r scheduler.Request) {
 		if job.BestEffort && p.requests.gone(r) {
 			p.deps.Log.Info("caller left before its job was accepted", zap.String("job", string(job.ID)))
@@ -113,6 +114,7 @@
 		p.core.Submit(now, r, job)
 	})
 	if job.BestEffort && reply.Result == scheduler.Unknown && ctx.Err() != nil {
+		p.recordCallerLeft(ctx.Err(), job.ID, p.deps.Clock.Now()-submittedAt)
 		p.push(func(now clock.Millis) { p.core.CallerDisconnected(now, reply.Request, job.ID) })
 	}
 	return reply
--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -14,6 +14,7 @@
 
 	"github.com/teaseltide/teaseltide/internal/batch"
 	"github.com/teaseltide/teaseltide/internal/control"
+	"github.com/teaseltide/teaseltide/internal/joblog"
 	"github.com/teaseltide/teaseltide/internal/jobstore"
 	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/peer"
@@ -59,6 +60,8 @@
 	Log         *zap.Logger
 	Frames      peer.FrameCounter
 	Metrics     *Metrics
+	// Jobs limits the lines about jobs; if nil, none are written.
+	Jobs *joblog.Logger
 	// Pauses records the pauses of the process; it may be nil.
 	Pauses *control.Pauses
 	// Quiesce, if not nil, waits until callers send no more requests. It is called
@@ -184,6 +187,7 @@
 // tick executes the commands of the core and reports whether the process
 // continues to run.
 func (p *Process) tick(now clock.Millis) bool {
+	p.deps.Jobs.ReportDropped(now)
 	p.updateStoreState(now)
 	for _, c := range p.core.Tick(now) {
 		p.execute(c)
@@ -255,28 +259,8 @@
 	case scheduler.Depose:
 		go p.depose(c.Entry)
 	case scheduler.Decision:
-		if c.Summary == scheduler.JobEnded {
-			p.deps.Metrics.observeDuration(c.Reason, clock.Millis(c.Value))
-		}
-		p.deps.Log.Info(c.Summary, decisionFields(c)...)
-	}
-}
-
-// decisionFields returns the fields of a decision's log line.
-func decisionFields(c scheduler.Decision) []zap.Field {
-	fields := []zap.Field{
-		zap.String("job", string(c.Job)), zap.String("reason", c.Reason), zap.Int64("value", c.Value),
-		zap.String("sidecar", string(c.Sidecar)), zap.Uint32("step", c.Run.Step), zap.Uint32("index", c.Run.Index), zap.Int64("attempt", int64(c.Run.Attempt)),
-	}
-	if c.Route != "" {
-		fields = append(fields, zap.String("route", string(c.Route)))
-	}
-	for _, d := range c.Details {
-		if d.Name != "" {
-			fields = append(fields, zap.Int64(d.Name, d.Value))
-		}
+		p.recordDecision(c)
 	}
-	return fields
 }
 
 // handleSaveResults passes the results of writes to the core.
--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -16,6 +16,8 @@
 	events       *prometheus.CounterVec
 	open         prometheus.Gauge
 	duration     *prometheus.HistogramVec
+	// refused, givenUp and callersLeft are counted by reason.
+	refused, givenUp, callersLeft *prometheus.CounterVec
 }
 
 // durationBuckets are the histogram buckets of job durations in seconds, from a
@@ -38,8 +40,17 @@
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "teaseltide_job_duration_seconds", Help: "Time from acceptance to the end of a job.", Buckets: durationBuckets,
 		}, []string{"state"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "teaseltide_jobs_refused_total", Help: "Jobs that were not accepted, by reason.",
+		}, []string{"reason"}),
+		givenUp: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "teaseltide_jobs_given_up_total", Help: "Accepted jobs that were given up, by reason.",
+		}, []string{"reason"}),
+		callersLeft: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "teaseltide_callers_left_total", Help: "Callers that did not wait for the reply, by reason.",
+		}, []string{"reason"}),
 	}
-	r.MustRegister(m.jobs, m.runs, m.events, m.open, m.duration)
+	r.MustRegister(m.jobs, m.runs, m.events, m.open, m.duration, m.refused, m.givenUp, m.callersLeft)
 	return m
 }
 
--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -10,9 +10,9 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"github.com/teaseltide/teaseltide/internal/batch"
 	"github.com/teaseltide/teaseltide/internal/control"
 	"github.com/teaseltide/teaseltide/internal/executor"
+	"github.com/teaseltide/teaseltide/internal/joblog"
 	"github.com/teaseltide/teaseltide/internal/jobstore"
 	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/peer"
@@ -58,6 +58,9 @@
 	Clock     clock.Clock
 	Log       *zap.Logger
 	Frames    peer.FrameCounter
+	// Jobs limits the lines about jobs; if nil, none are written.
+	Jobs    *joblog.Logger
+	Metrics *Metrics
 	// Pauses records the pauses of the process; it may be nil.
 	Pauses *control.Pauses
 }
@@ -175,6 +178,7 @@
 // tick executes the commands of the core. It reports false when the planned stop
 // is complete.
 func (p *Process) tick(now clock.Millis) bool {
+	p.deps.Jobs.ReportDropped(now)
 	for _, c := range p.core.Tick(now) {
 		p.execute(c)
 	}
@@ -188,23 +192,19 @@
 func (p *Process) execute(c executor.Command) {
 	switch c := c.(type) {
 	case executor.StartRun:
-		p.deps.Log.Info("run started", runField(c.Run), zap.String("entry", string(c.Entry)), zap.Int64("order-age-ms", int64(c.OrderAge)),
-			zap.Int64("report-ms", int64(c.ReportSentAt)), zap.Int64("lease-until-ms", int64(c.LeaseUntil)),
-			zap.Int64("latest-lease-ms", int64(c.LatestLease)), zap.Int64("token", c.Token))
+		p.recordStart(c)
 		go p.startRun(c)
 	case executor.PersistWorker:
 		p.queueWorkerUpdate(c.Worker)
 	case executor.ListNow:
 		go p.listNow()
 	case executor.StopRun:
-		p.deps.Log.Info("stop sent", runField(c.Run), zap.String("entry", string(c.Entry)), zap.String("reason", string(c.Reason)))
+		p.recordStop(c)
 		go p.stopRun(c)
 	case executor.RunEnded:
-		p.deps.Log.Info("run ended", runField(c.Run), zap.String("entry", string(c.Entry)), zap.String("outcome", string(c.Outcome)),
-			zap.Int64("run-ms", int64(c.RunTime)), zap.Bool("stopped", c.Stopped))
+		p.recordEnd(c)
 	case executor.OrderRefused:
-		p.deps.Log.Info("order refused", runField(c.Run), zap.String("entry", string(c.Entry)), zap.String("reason", string(c.Reason)),
-			zap.Int64("order-age-ms", int64(c.OrderAge)))
+		p.recordRefusal(c)
 	case executor.Report:
 		p.sendReport(c)
 	case executor.LeaseExpiring:
@@ -214,16 +214,14 @@
 	}
 }
 
-func runField(id batch.RunID) zap.Field {
-	return zap.Dict("run", zap.String("job", string(id.Job)), zap.Uint32("step", id.Step), zap.Uint32("index", id.Index), zap.Int64("attempt", int64(id.Attempt)))
-}
-
 func (p *Process) startRun(c executor.StartRun) {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	result := p.deps.Worker.Start(ctx, c)
 	if result != executor.StartAccepted {
-		p.deps.Log.Info("start not accepted", runField(c.Run), zap.Int("result", int(result)), zap.Int64("token", c.Token))
+		if log := p.deps.Jobs.Trouble(); log != nil {
+			log.Info("start not accepted", runField(c.Run), entryField(c.Entry), zap.Int("result", int(result)), zap.Int64("token", c.Token))
+		}
 	}
 	p.push(func(now clock.Millis) { p.core.StartAnswered(now, c.Run, c.Token, result) })
 }
@@ -237,7 +235,9 @@
 	if err == nil {
 		return
 	}
-	p.deps.Log.Info("stop not acknowledged", runField(c.Run), zap.Int64("token", c.Token), zap.Error(err))
+	if log := p.deps.Jobs.Trouble(); log != nil {
+		log.Info("stop not acknowledged", runField(c.Run), entryField(c.Entry), zap.Int64("token", c.Token), zap.Error(err))
+	}
 	if errors.Is(err, ErrFenced) {
 		p.push(func(clock.Millis) { p.core.StopFenced(c.Run, c.Token) })
 	}
