sidecarnode: Send no start after a pause of the process

Callers could see one task run twice: a sidecar that was paused between the decision to start a run and its call to the worker sent the start after the pause, when the grant had expired and the task ran elsewhere. A start whose deadline has passed is rejected by the worker as late, but one sent before that, or without a deadline, runs.

A start now carries the time after which it must not be sent: 100 ms after the decision and not later than the lease that it asks for. Listings name the end of the lease as an absolute time that was bounded by the grants when it was computed, so a pause can't extend it; they are left as they are.

TestStartTellsHowLongItIsValid guards the time in the core.

--- a/internal/executor/commands.go
+++ b/internal/executor/commands.go
@@ -18,6 +18,9 @@
 	Token int64
 	// LeaseUntil is the new end of the worker's lease, 0 for no change.
 	LeaseUntil clock.Millis
+	// NotAfter is the time after which the call must not be made; the start then
+	// counts as refused.
+	NotAfter clock.Millis
 	Entry      ownership.Incarnation
 	// ReportSentAt is when the report was sent on which the entry's latest orders
 	// are based.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -46,6 +46,10 @@
 	// the task elsewhere 1.1 s after the report; the rest is for the drift of the
 	// worker's clock, 2% of the lease, and for the end of the run.
 	maxLeaseAfterReport = 1 * clock.Second
+	// maxStartDelay is the longest time between the decision to start a run and the
+	// call to the worker. It allows for a busy processor; after a longer pause of
+	// the process the task may run elsewhere.
+	maxStartDelay = 100 * clock.Millis(1)
 	// stopRetryInterval is the time after which a stop is repeated if the end of the
 	// run is not listed. The worker ends a run within 50 ms of a stop, and the next
 	// listing follows within 106 ms. A call that gets no answer ends before the
@@ -345,7 +349,7 @@
 		x.reserve(r)
 		granted := x.entry(r.owner).grantedFrom
 		x.commands = append(x.commands, StartRun{
-			Run: r.id, Spec: r.spec, Token: x.token, LeaseUntil: lease,
+			Run: r.id, Spec: r.spec, Token: x.token, LeaseUntil: lease, NotAfter: min(now+maxStartDelay, lease),
 			Entry: r.owner, ReportSentAt: granted, OrderAge: now - granted, LatestLease: x.leaseUntil,
 		})
 	}
--- a/internal/executor/leases_test.go
+++ b/internal/executor/leases_test.go
@@ -179,3 +179,18 @@
 		}
 	}
 }
+
+// Guards against a start that is sent after a pause of the sidecar, when the task
+// may run elsewhere: a start tells until when it may be sent.
+func TestStartTellsHowLongItIsValid(t *testing.T) {
+	h := newHarness(t)
+	h.x.OrdersReceived(h.now, entryA, h.orders(start(runID("j"), 6000, true)))
+	h.tick()
+	starts := h.starts()
+	if len(starts) != 1 {
+		t.Fatalf("starts: got %d, want 1", len(starts))
+	}
+	if got, want := starts[0].NotAfter-h.now, clock.Millis(100); got <= 0 || got > want {
+		t.Errorf("validity of a start: got %d ms, want more than 0 and at most %d", got, want)
+	}
+}
--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -37,7 +37,7 @@
 // Worker is the worker beside the sidecar. Its methods are called from several
 // goroutines.
 type Worker interface {
-	// Start starts a run.
+	// Start starts a run. After NotAfter it makes no call and returns StartRefused.
 	Start(ctx context.Context, start executor.StartRun) executor.StartResult
 	// Stop stops a run. A run that has ended is ignored. The error is ErrFenced if
 	// the worker has seen a higher token.
@@ -219,8 +219,9 @@
 	defer cancel()
 	result := p.deps.Worker.Start(ctx, c)
 	if result != executor.StartAccepted {
+		late := max(p.deps.Clock.Now()-c.NotAfter, 0)
 		if log := p.deps.Jobs.Trouble(); log != nil {
-			log.Info("start not accepted", runField(c.Run), entryField(c.Entry), zap.Int("result", int(result)), zap.Int64("token", c.Token))
+			log.Info("start not accepted", runField(c.Run), entryField(c.Entry), zap.Int("result", int(result)), zap.Int64("token", c.Token), zap.Int64("late-ms", int64(late)))
 		}
 	}
 	p.push(func(now clock.Millis) { p.core.StartAnswered(now, c.Run, c.Token, result) })
