executor: Void late calls to an earlier incarnation of the worker

Callers could see one task run twice: a call without an answer may be executed seconds later. A start that was sent before the worker restarted runs on its next incarnation, which has seen no fencing token, and its deadline by the earlier clock lies far ahead. Meanwhile the task runs elsewhere.

A restart under the same ID: the token is raised when the worker is replaced, and nothing starts before a listing under it, sent at once, has been answered; from then on the worker does nothing for earlier calls. Earlier ones may have renewed the lease for up to maxLease, so a start on a report from before the listing is refused.

TestNewIncarnationWaitsForItsReport now sends the listing under the higher token as well; its expectations are unchanged.

--- a/internal/executor/commands.go
+++ b/internal/executor/commands.go
@@ -13,9 +13,12 @@
 // StartRun calls the worker to start a run; the result is passed to
 // StartAnswered.
 type StartRun struct {
-	Run   batch.RunID
-	Spec  string
-	Token int64
+	// Worker is the ID of the worker for which the start is meant; any other
+	// refuses it.
+	Worker string
+	Run    batch.RunID
+	Spec   string
+	Token  int64
 	// LeaseUntil is the new end of the worker's lease, 0 for no change.
 	LeaseUntil clock.Millis
 	// NotAfter is the time after which the call must not be made; the start then
@@ -140,7 +143,8 @@
 }
 
 // ListNow requests an immediate listing, in parallel to the one that waits for
-// an end, to resolve an unanswered start.
+// an end, to resolve an unanswered start or to fence off the calls to an earlier
+// incarnation of the worker.
 type ListNow struct{}
 
 func (PersistWorker) command()  {}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -207,6 +207,9 @@
 	// runsListed is true after the worker has listed its runs under this sidecar's
 	// token; nothing is started before then.
 	runsListed bool
+	// replaced is true from the replacement of the worker until the first listing of
+	// the new incarnation under a higher token.
+	replaced bool
 	// fencesLoaded is true after the deposed entries have been read from the store.
 	fencesLoaded bool
 	token        int64
@@ -349,7 +352,7 @@
 		x.reserve(r)
 		granted := x.entry(r.owner).grantedFrom
 		x.commands = append(x.commands, StartRun{
-			Run: r.id, Spec: r.spec, Token: x.token, LeaseUntil: lease, NotAfter: min(now+maxStartDelay, lease),
+			Worker: x.worker.ID, Run: r.id, Spec: r.spec, Token: x.token, LeaseUntil: lease, NotAfter: min(now+maxStartDelay, lease),
 			Entry: r.owner, ReportSentAt: granted, OrderAge: now - granted, LatestLease: x.leaseUntil,
 		})
 	}
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -207,6 +207,7 @@
 	}
 	h.advance(20)
 	h.list(firstToken, 2, nil, nil)
+	h.list(h.x.ListRequest(h.now).Token, 2, nil, nil)
 	h.take()
 	h.x.OrdersReceived(h.now, entryA, h.orders(start(runID("b"), 6000, true)))
 	h.tick()
@@ -223,6 +224,55 @@
 	}
 }
 
+// Guards against two runs of a task at once: a start that was sent to a worker
+// before its restart may be executed after it, and the new incarnation has seen no
+// token that rejects it. Nothing starts before a listing under a higher token.
+func TestLateCallsToAnEarlierIncarnationAreFenced(t *testing.T) {
+	for name, replace := range map[string]func(h *harness){
+		"report":  func(h *harness) { h.sequence = 0; h.report(2, 20_000) },
+		"listing": func(h *harness) { h.list(firstToken, 2, nil, nil); h.sequence = 0; h.report(2, 20_000) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.x.OrdersReceived(h.now, entryA, h.orders(start(runID("a"), 100, true)))
+			h.tick()
+			sent := h.starts()
+			if len(sent) != 1 || sent[0].Worker != "w" {
+				t.Fatalf("starts: got %v, want one for the worker", sent)
+			}
+			h.advance(10)
+			replace(h)
+			h.list(firstToken, 2, nil, nil)
+			h.advance(10)
+			h.x.OrdersReceived(h.now, entryA, h.orders(start(runID("b"), 100, true)))
+			h.tick()
+			if got := len(h.starts()); got != 0 {
+				t.Errorf("starts before a listing under a higher token: got %d, want 0", got)
+			}
+			r := h.x.ListRequest(h.now)
+			if r.Token <= sent[0].Token {
+				t.Errorf("token of the next listing: got %d, want more than %d", r.Token, sent[0].Token)
+			}
+			h.list(r.Token, 2, nil, nil)
+			// Calls before the listing may have renewed the lease for maxLease.
+			h.advance(200)
+			h.take()
+			early := h.orders(start(runID("early"), 100, true))
+			early.GrantedFrom -= 201
+			h.x.OrdersReceived(h.now, entryB, early)
+			h.tick()
+			if got := len(h.starts()); got != 0 {
+				t.Errorf("starts on a report before the listing: got %d, want 0", got)
+			}
+			h.x.OrdersReceived(h.now, entryA, h.orders(start(runID("c"), 100, true)))
+			h.tick()
+			if got := len(h.starts()); got != 1 {
+				t.Errorf("starts after it: got %d, want 1", got)
+			}
+		})
+	}
+}
+
 // A report that was delayed by a network partition must not restore an earlier
 // incarnation.
 func TestStaleReportOfAnEarlierIncarnationIsIgnored(t *testing.T) {
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -118,6 +118,13 @@
 	x.cursor = 0
 	x.leaseUntil = 0
 	x.leaseExpiredBy = 0
+	if x.worker.Incarnation != 0 {
+		// Calls to the previous incarnation may still be executed by this one, which
+		// has seen no token. After a listing under a higher one they have no effect.
+		x.token++
+		x.replaced = true
+		x.commands = append(x.commands, ListNow{})
+	}
 	x.worker = w
 	x.loadVersion++
 	x.commands = append(x.commands, WorkerReplaced{Worker: w, Runs: x.ActiveRuns()})
@@ -233,6 +240,12 @@
 		}
 	}
 	x.runsListed = x.runsListed || l.Token == x.token
+	if x.runsListed && x.replaced {
+		// Earlier calls may have renewed the lease up to now, with an end by the clock
+		// of the previous incarnation.
+		x.replaced = false
+		x.leaseUntil = max(x.leaseUntil, now+x.maxLease)
+	}
 	if x.leaseExpiredBy != 0 && now >= x.leaseExpiredBy && len(l.Running) == 0 {
 		x.leaseExpired(now)
 	}
