executor: Take stops, releases and acknowledgements from the owner only

Two entries that hold the same best-effort job one after the other number its runs alike. An entry that had held a job before could stop or release the run of the entry that holds it now, or have its end discarded before the owner had learned of it: callers got late answers or none for these tasks.

These orders now count only from the run's owner or its successor, and from any entry for a run that nobody has claimed, as before. A stop of another entry's run is answered as not started, so that the sender doesn't wait for an end.

Without the check, TestOrdersForTheRunOfAnotherEntryAreIgnored got 1 stop for a stop and for a release of another entry, want 0; TestEndIsAcknowledgedByItsOwnerOnly got cursor 1 after the acknowledgement of another entry, want 0; TestStopOfAnotherEntrysRunIsAnswered got no state, want STATE_NOT_STARTED.

--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -100,12 +100,12 @@
 		x.handleStop(now, from, batch.RunIDFromWire(id))
 	}
 	for _, id := range o.GetStored() {
-		if r := x.findRun(batch.RunIDFromWire(id)); r != nil && r.phase == ended {
+		if r := x.findRun(batch.RunIDFromWire(id)); r != nil && r.phase == ended && x.mayOrder(from, r) {
 			r.acknowledgeable = true
 		}
 	}
 	for _, id := range o.GetReleases() {
-		x.handleRelease(now, batch.RunIDFromWire(id))
+		x.handleRelease(now, from, batch.RunIDFromWire(id))
 	}
 }
 
@@ -117,6 +117,14 @@
 	return nil
 }
 
+// mayOrder reports whether an entry may stop a run or acknowledge its end: the
+// owner, its successor, and any entry for an unclaimed run. Two entries that held
+// the same job one after the other number its runs alike.
+func (x *Executor) mayOrder(from ownership.Incarnation, r *run) bool {
+	owner, _ := x.successors.CurrentOwner(r.owner)
+	return owner == "" || owner == from
+}
+
 func resourcesOf(s *wire.TaskStart) batch.Resources {
 	return batch.Resources{CPU: s.GetCpu(), MemoryMB: s.GetMemoryMb(), Accelerators: s.GetAccelerators()}
 }
@@ -176,6 +184,9 @@
 			x.attempts[id.TaskID] = attempt{number: id.Attempt, at: known.at}
 		}
 		x.addEvent(&run{id: id, owner: from}, wire.TaskEvent_STATE_NOT_STARTED)
+	case !x.mayOrder(from, r):
+		// The run of this number is another entry's; the sender has none.
+		x.addEvent(&run{id: id, owner: from}, wire.TaskEvent_STATE_NOT_STARTED)
 	case r.phase == queued:
 		x.returnTask(r)
 	case r.phase != ended:
@@ -185,9 +196,9 @@
 
 // handleRelease stops a run whose job is no longer open and permits its end to be
 // acknowledged.
-func (x *Executor) handleRelease(now clock.Millis, id batch.RunID) {
+func (x *Executor) handleRelease(now clock.Millis, from ownership.Incarnation, id batch.RunID) {
 	r := x.findRun(id)
-	if r == nil {
+	if r == nil || !x.mayOrder(from, r) {
 		return
 	}
 	if r.phase == queued {
