scheduler: Wait for the end of a run that another entry ordered

An entry that holds a best-effort job and hears of an active run which it did not order (after a restart of the sidecar, or because its own start meets that run) released the run and went on placing the task: it ran twice until the stop had taken effect, and was refused in a loop at the worker with the run.

A pending task is now bound to the active run; a bound one records it and is bound to it when its own run is over. The entry adopts the run, and a sidecar tells its end to the owner and to all entries that asked, names the run that a refused start meets, and answers the adoption of a run that it no longer has with LOST, so no entry waits for good. A run beside one on another worker is stopped.

Before: TestTaskWaitsForTheRunOfAnotherEntry and TestPendingTaskTakesOverAnActiveRun failed with a start on the other worker, want none; in the executor TestEntryIsToldOfTheRunThatItsStartMeets failed with NOT_STARTED only, want the first run running and then STOPPED, and TestAdoptionOfAnEndedRunReportsItsEnd with no event, want LOST and DONE.

--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -1,6 +1,8 @@
 package executor
 
 import (
+	"slices"
+
 	"github.com/teaseltide/teaseltide/internal/batch"
 	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/wire"
@@ -132,9 +134,22 @@
 // adopt records the resources and the owner of a run that was discovered on the
 // worker.
 func (x *Executor) adopt(from ownership.Incarnation, s *wire.TaskStart) {
-	r := x.findRun(batch.RunIDFromWire(s.GetRun()))
-	if r == nil || r.owner != "" && r.owner != from {
+	id := batch.RunIDFromWire(s.GetRun())
+	r := x.findRun(id)
+	switch {
+	case r == nil && s.GetBestEffort():
+		x.addEvent(&run{id: id, owner: from, bestEffort: true}, wire.TaskEvent_STATE_LOST)
+		return
+	case r == nil:
 		return
+	case r.owner != "" && r.owner != from:
+		if r.bestEffort && s.GetBestEffort() {
+			x.watch(from, r)
+		}
+		return
+	case r.owner == "" && r.phase == ended && s.GetBestEffort():
+		// The end had no entry to be reported to.
+		x.watch(from, r)
 	}
 	if r.owner == "" && !r.sizeKnown && r.phase != ended {
 		x.unsizedRuns--
@@ -147,6 +162,17 @@
 	r.estimatedTime = clock.Millis(s.GetEstimatedMs())
 }
 
+// watch reports the end of a run also to an entry that does not own it.
+func (x *Executor) watch(from ownership.Incarnation, r *run) {
+	if r.phase == ended {
+		x.addEventFor(from, r, endState(r))
+		return
+	}
+	if r.owner != from && !slices.Contains(r.watchers, from) {
+		r.watchers = append(r.watchers, from)
+	}
+}
+
 // enqueue queues a task, or reports it as not started if it cannot be accepted.
 // reportAt is the time of the report on which the order is based.
 func (x *Executor) enqueue(now clock.Millis, from ownership.Incarnation, reportAt clock.Millis, s *wire.TaskStart) {
@@ -160,6 +186,9 @@
 		// attempt because it is not higher than the last one.
 		x.logRefused(r, RefusedAttemptKnown, now-reportAt)
 		r.highestAttempt = known.number
+		if other := x.runs[id.TaskID]; other != nil && other.id != id && r.bestEffort {
+			x.reportOther(from, other)
+		}
 		x.addEvent(r, wire.TaskEvent_STATE_NOT_STARTED)
 		return
 	}
@@ -173,6 +202,15 @@
 	x.loadVersion++
 }
 
+// reportOther tells an entry whose start is refused of the task's run here, so that it
+// starts the task after the end of that run.
+func (x *Executor) reportOther(from ownership.Incarnation, r *run) {
+	if r.phase != ended {
+		x.addEventFor(from, r, wire.TaskEvent_STATE_RUNNING)
+	}
+	x.watch(from, r)
+}
+
 // handleStop stops a run, or reports it as not started if it has not begun.
 func (x *Executor) handleStop(now clock.Millis, from ownership.Incarnation, id batch.RunID) {
 	r := x.findRun(id)
@@ -212,8 +250,20 @@
 }
 
 // addEvent queues an event for the entry that owns a run, if it is connected.
-func (x *Executor) addEvent(r *run, state wire.TaskEvent_State) {
-	e := x.entries[r.owner]
+func (x *Executor) addEvent(r *run, state wire.TaskEvent_State) { x.addEventFor(r.owner, r, state) }
+
+// addEventToAll queues an event for the owner of a run and the entries that watch it.
+func (x *Executor) addEventToAll(r *run, state wire.TaskEvent_State) {
+	x.addEvent(r, state)
+	for _, w := range r.watchers {
+		if w != r.owner {
+			x.addEventFor(w, r, state)
+		}
+	}
+}
+
+func (x *Executor) addEventFor(id ownership.Incarnation, r *run, state wire.TaskEvent_State) {
+	e := x.entries[id]
 	if e == nil || !e.connected {
 		return
 	}
@@ -303,7 +353,7 @@
 func (x *Executor) inventory(id ownership.Incarnation) []*wire.TaskEvent {
 	var events []*wire.TaskEvent
 	for _, r := range x.runs {
-		if r.void || r.owner != id && r.owner != "" {
+		if r.void || r.owner != id && r.owner != "" && !slices.Contains(r.watchers, id) {
 			continue
 		}
 		state := wire.TaskEvent_STATE_RUNNING
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -146,6 +146,9 @@
 	// worker.
 	discoveredAt clock.Millis
 	bestEffort   bool
+	// watchers are entries that hold the job of another entry's run and wait for its
+	// end.
+	watchers []ownership.Incarnation
 	// highestAttempt is that of the task, if the order had no higher one.
 	highestAttempt batch.Attempt
 	// resolveRequestedAt is when an entry was last asked to look up the job.
@@ -402,7 +405,7 @@
 func (x *Executor) returnTask(r *run) {
 	delete(x.runs, r.id.TaskID)
 	x.loadVersion++
-	x.addEvent(r, wire.TaskEvent_STATE_NOT_STARTED)
+	x.addEventToAll(r, wire.TaskEvent_STATE_NOT_STARTED)
 }
 
 // checkProgress stops stalled runs.
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -648,3 +648,53 @@
 		t.Errorf("highest attempt in the refusal: got %v, want [40]", got)
 	}
 }
+
+// Guards against a hot loop of refused starts, and against a start elsewhere beside an
+// active run: an entry whose start is refused because of another entry's run is told of
+// that run and of its end.
+func TestEntryIsToldOfTheRunThatItsStartMeets(t *testing.T) {
+	h := newHarness(t)
+	h.x.EntryConnected(entryB)
+	h.tick()
+	first := runID("j")
+	h.x.OrdersReceived(h.now, entryA, h.orders(start(first, 6000, true)))
+	h.tick()
+	h.x.StartAnswered(h.now, first, firstToken, executor.StartAccepted)
+	h.tick()
+	h.take()
+	second := runID("j")
+	second.Attempt = 9
+	h.x.OrdersReceived(h.now, entryB, h.orders(start(second, 6000, true)))
+	h.tick()
+	got := h.states(entryB)
+	if got[first] != wire.TaskEvent_STATE_RUNNING || got[second] != wire.TaskEvent_STATE_NOT_STARTED {
+		t.Errorf("states at the refused start: got %v, want the first run running, the second not started", got)
+	}
+	h.list(firstToken, 1, nil, []executor.ListedEnd{{Sequence: 1, Run: first, End: batch.OutcomeStopped}})
+	h.tick()
+	if got, want := h.states(entryB)[first], wire.TaskEvent_STATE_STOPPED; got != want {
+		t.Errorf("state after the end: got %v, want %v", got, want)
+	}
+}
+
+// Guards against an entry that waits forever for the end of a run which a sidecar no
+// longer has, or whose end came before the adoption.
+func TestAdoptionOfAnEndedRunReportsItsEnd(t *testing.T) {
+	h := newHarness(t)
+	id := runID("j")
+	adopt := &wire.TaskOrders{GrantedFrom: int64(h.now), Adopts: []*wire.TaskStart{start(id, 6000, true)}}
+	h.take()
+	h.x.OrdersReceived(h.now, entryA, adopt)
+	h.tick()
+	if got, want := h.states(entryA)[id], wire.TaskEvent_STATE_LOST; got != want {
+		t.Errorf("state of an unknown run: got %v, want %v", got, want)
+	}
+	h.list(firstToken, 1, nil, []executor.ListedEnd{{Sequence: 1, Run: id, End: batch.OutcomeDone}})
+	h.tick()
+	h.take()
+	h.x.OrdersReceived(h.now, entryA, adopt)
+	h.tick()
+	if got, want := h.states(entryA)[id], wire.TaskEvent_STATE_DONE; got != want {
+		t.Errorf("state of an ended run: got %v, want %v", got, want)
+	}
+}
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -335,6 +335,9 @@
 func (x *Executor) discard(r *run) {
 	x.releaseCapacity(r)
 	delete(x.runs, r.id.TaskID)
+	if r.bestEffort && r.phase != ended {
+		x.addEventToAll(r, wire.TaskEvent_STATE_LOST)
+	}
 }
 
 // releaseCapacity frees the capacity that an active run occupies.
@@ -357,7 +360,7 @@
 	r.end = end
 	r.runTime = now - r.startedAt
 	x.commands = append(x.commands, RunEnded{Run: r.id, Entry: r.owner, Outcome: end, RunTime: r.runTime, Stopped: r.stopping})
-	x.addEvent(r, endState(r))
+	x.addEventToAll(r, endState(r))
 }
 
 // endState returns the state under which the end of a run is reported.
--- a/internal/scheduler/identity_test.go
+++ b/internal/scheduler/identity_test.go
@@ -102,3 +102,52 @@
 		}
 	}
 }
+
+// Guards against a start beside another entry's active run: an entry was told of such a
+// run at the worker to which it had sent its own start, took the refusal of that start
+// for leave to start elsewhere, and ran the task twice.
+func TestTaskWaitsForTheRunOfAnotherEntry(t *testing.T) {
+	for name, end := range map[string]wire.TaskEvent_State{
+		"stopped": wire.TaskEvent_STATE_STOPPED, "failed": wire.TaskEvent_STATE_FAILED, "unknown to its sidecar": wire.TaskEvent_STATE_LOST,
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestbed(t, 2)
+			b.submit(job("j", 1, true))
+			own := b.starts()[0]
+			foreign := own.run
+			foreign.Attempt--
+			b.inventory(own.at, event(foreign, wire.TaskEvent_STATE_RUNNING))
+			b.report(own.at, event(own.run, wire.TaskEvent_STATE_NOT_STARTED))
+			b.advance(500)
+			if got := b.starts(); len(got) != 0 {
+				t.Fatalf("starts beside the run of another entry: got %v, want none", got)
+			}
+			b.report(own.at, event(foreign, end))
+			if got := b.starts(); len(got) != 1 || got[0].run.Attempt <= own.run.Attempt {
+				t.Errorf("starts after its end: got %v, want one above attempt %d", got, own.run.Attempt)
+			}
+		})
+	}
+}
+
+// Guards against a second start while a run of the task is active that the entry had not
+// ordered and whose attempt is below its own last one: such a run was released and the
+// task started elsewhere before the stop had taken effect.
+func TestPendingTaskTakesOverAnActiveRun(t *testing.T) {
+	b := newTestbed(t, 2)
+	r := b.submit(job("j", 1, true))
+	own := b.starts()[0]
+	busy := &wire.WorkerLoad{Cpu: 20_000, Ready: true, Service: "s"}
+	b.send(otherThan(own.at), &wire.TaskReport{Load: busy})
+	b.send(own.at, &wire.TaskReport{Load: busy, Events: []*wire.TaskEvent{event(own.run, wire.TaskEvent_STATE_NOT_STARTED)}})
+	foreign := batch.RunID{TaskID: batch.TaskID{Job: "j"}, Attempt: 3}
+	b.inventory(address(0), event(foreign, wire.TaskEvent_STATE_RUNNING))
+	b.advance(300)
+	if got := b.starts(); len(got) != 0 {
+		t.Fatalf("starts beside the active run: got %v, want none", got)
+	}
+	b.report(address(0), event(foreign, wire.TaskEvent_STATE_DONE))
+	if got, want := b.replies()[r].Result, scheduler.Ended; got != want {
+		t.Errorf("result after its end: got %q, want %q", got, want)
+	}
+}
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -37,12 +37,26 @@
 	// ran is true once a run has started, or was abandoned without a report from its
 	// sidecar.
 	ran bool
+	// otherRuns are active runs of a best-effort task beside the one that it is bound
+	// to, as far as known: of another entry, or abandoned by this one.
+	otherRuns []otherRun
 	// failedAttempts holds the attempts whose failure has been counted.
 	failedAttempts []batch.Attempt
 	// failedWorkers holds the workers on which the task failed.
 	failedWorkers []Address
 }
 
+// otherRun is a run of a task that the task is not bound to.
+type otherRun struct {
+	node    Address
+	attempt batch.Attempt
+}
+
+// removeOtherRun removes a run that has ended.
+func (t *task) removeOtherRun(n *node, id batch.RunID) {
+	t.otherRuns = slices.DeleteFunc(t.otherRuns, func(o otherRun) bool { return o == otherRun{n.address, id.Attempt} })
+}
+
 // isBoundTo reports whether a run on a worker is the task's current one. The attempt
 // alone does not identify a run: two entries that hold a best-effort job one after the
 // other may order the same attempt from two workers.
@@ -121,14 +135,68 @@
 	if n := s.nodes[t.node]; n != nil {
 		delete(n.runs, j.runID(t).TaskID)
 	}
+	t.attemptFloor = max(t.attemptFloor, t.attempt)
 	t.state = taskPending
 	t.node = ""
+	for len(t.otherRuns) > 0 {
+		other := t.otherRuns[0]
+		t.otherRuns = t.otherRuns[1:]
+		if n := s.nodes[other.node]; n != nil {
+			s.bindToRun(s.now, n, j, t, other.attempt)
+			return
+		}
+	}
 	if !j.recovering && !j.cancelled && j.inFlight != endWrite && j.stepReady(t.step) {
 		s.dequeue(j)
 		s.enqueue(j)
 	}
 }
 
+// bindToRun binds a pending task to a run that was not ordered for it. The sidecar
+// reports its end, or that there is no such run.
+func (s *Scheduler) bindToRun(now clock.Millis, n *node, j *job, t *task, a batch.Attempt) {
+	t.state = taskBound
+	t.attempt = a
+	t.node = n.address
+	t.boundAt = now
+	t.sequence = 0
+	id := j.runID(t)
+	n.runs[id.TaskID] = boundTask{j, t}
+	n.orders().Adopts = append(n.orders().Adopts, s.adoptOrder(j, t, id))
+	if j.cancelled {
+		n.orders().Stops = append(n.orders().Stops, id.Wire())
+	}
+}
+
+func (s *Scheduler) adoptOrder(j *job, t *task, id batch.RunID) *wire.TaskStart {
+	order := s.startOrder(j, t, "")
+	order.Run = id.Wire()
+	return order
+}
+
+// observeRun records an active run of a best-effort task that the task is not bound
+// to. The task must not start elsewhere until its end is reported: a pending task is
+// bound to it, a bound one is once its own run is over. A run beside one on another
+// worker is stopped.
+func (s *Scheduler) observeRun(now clock.Millis, n *node, j *job, t *task, id batch.RunID) {
+	if t.state == taskPending {
+		if j.queued && j.stepReady(t.step) {
+			j.pendingTasks--
+		}
+		t.attemptFloor = max(t.attemptFloor, t.attempt, id.Attempt)
+		s.bindToRun(now, n, j, t, id.Attempt)
+		return
+	}
+	t.recordAttempt(id.Attempt)
+	if other := (otherRun{n.address, id.Attempt}); !slices.Contains(t.otherRuns, other) {
+		t.otherRuns = append(t.otherRuns, other)
+	}
+	n.orders().Adopts = append(n.orders().Adopts, s.adoptOrder(j, t, id))
+	if t.node != n.address || j.cancelled {
+		n.orders().Stops = append(n.orders().Stops, id.Wire())
+	}
+}
+
 // handleEvent handles a sidecar's event about a run.
 func (s *Scheduler) handleEvent(now clock.Millis, n *node, e *wire.TaskEvent) {
 	id := batch.RunIDFromWire(e.GetRun())
@@ -145,6 +213,9 @@
 	if e.GetState() != wire.TaskEvent_STATE_QUEUED && e.GetState() != wire.TaskEvent_STATE_NOT_STARTED {
 		t.ran = true
 	}
+	if e.GetState() != wire.TaskEvent_STATE_QUEUED && e.GetState() != wire.TaskEvent_STATE_RUNNING {
+		t.removeOtherRun(n, id)
+	}
 	switch e.GetState() {
 	case wire.TaskEvent_STATE_QUEUED, wire.TaskEvent_STATE_RUNNING:
 		s.handleActive(now, n, j, t, id, e.GetState() == wire.TaskEvent_STATE_RUNNING)
@@ -194,6 +265,9 @@
 	}
 	switch {
 	case t.isBoundTo(n, id):
+	case j.BestEffort && t.state != taskDone:
+		s.observeRun(now, n, j, t, id)
+		return
 	case t.state == taskDone || t.attempt > id.Attempt || t.state == taskBound:
 		// The run was abandoned before.
 		n.releaseRun(id)
@@ -315,6 +389,15 @@
 	s.forEachBoundTask(j, func(n *node, t *task) {
 		n.orders().Stops = append(n.orders().Stops, j.runID(t).Wire())
 	})
+	for i := range j.tasks {
+		for _, other := range j.tasks[i].otherRuns {
+			if n := s.nodes[other.node]; n != nil {
+				id := j.runID(&j.tasks[i])
+				id.Attempt = other.attempt
+				n.orders().Stops = append(n.orders().Stops, id.Wire())
+			}
+		}
+	}
 }
 
 // releaseJobRuns releases the runs of a job that is not open any more.
