executor: Stop the best-effort runs of a deposed entry

A fence gave the best-effort runs of a deposed entry to its successor and counted the grant from the fence, so they went on up to 850 ms longer than their callers wait before they submit the job again at any entry.

The successor still gets the runs, so that it is told of their end if it holds the same job, but they are stopped at once and keep the deposed entry's expiry. Stored runs are transferred as before.

TestFenceDoesNotProlongBestEffortRuns failed before with a lease 1150 ms after the grant, want 850 at most, and without a stop.

--- a/internal/executor/commands.go
+++ b/internal/executor/commands.go
@@ -59,6 +59,9 @@
 	StopNoProgress StopReason = "no-progress"
 	// StopUnclaimed means that no entry has claimed the discovered run.
 	StopUnclaimed StopReason = "unclaimed"
+	// StopOwnerDeposed means that another entry took over from the one that ordered
+	// the run.
+	StopOwnerDeposed StopReason = "owner-deposed"
 )
 
 // RunEnded reports that a run has ended. It asks for no action.
--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -61,6 +61,14 @@
 		if r.owner != deposed {
 			continue
 		}
+		if r.bestEffort {
+			// Its caller comes again in a fixed time after the loss of the deposed
+			// entry, so the transfer must not prolong the run.
+			r.expiresBy = x.grantExpiry(r)
+			if r.phase == starting || r.phase == unanswered || r.phase == running {
+				x.stop(now, r, StopOwnerDeposed)
+			}
+		}
 		r.owner = newOwner
 		if r.phase == queued {
 			delete(x.runs, r.id.TaskID)
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -149,6 +149,9 @@
 	// watchers are entries that hold the job of another entry's run and wait for its
 	// end.
 	watchers []ownership.Incarnation
+	// expiresBy bounds the grant of a best-effort run of a deposed entry, 0 for no
+	// bound.
+	expiresBy clock.Millis
 	// highestAttempt is that of the task, if the order had no higher one.
 	highestAttempt batch.Attempt
 	// resolveRequestedAt is when an entry was last asked to look up the job.
@@ -492,6 +495,9 @@
 	case r.owner == "" || e == nil:
 		return r.discoveredAt + ClaimTimeout
 	case r.bestEffort:
+		if r.expiresBy != 0 {
+			return r.expiresBy
+		}
 		return e.grantedFrom + BestEffortGrantDuration
 	}
 	return e.storedGrantedFrom + GrantDuration
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -698,3 +698,30 @@
 		t.Errorf("state of an ended run: got %v, want %v", got, want)
 	}
 }
+
+// Guards against best-effort runs that outlive the entry that ordered them: the fence of
+// a deposed entry renewed their grant, and their callers come again in a fixed time.
+func TestFenceDoesNotProlongBestEffortRuns(t *testing.T) {
+	h := newHarness(t)
+	h.x.EntryConnected(entryB)
+	id := runID("j")
+	h.x.OrdersReceived(h.now, entryA, h.orders(start(id, 6000, true)))
+	h.tick()
+	granted := h.now
+	h.x.StartAnswered(h.now, id, firstToken, executor.StartAccepted)
+	h.advance(300)
+	h.take()
+	h.x.OrdersReceived(h.now, entryB, &wire.TaskOrders{GrantedFrom: int64(h.now), Fences: []*wire.FenceEntry{{Deposed: string(entryA), Successor: string(entryB)}}})
+	h.tick()
+	stopped := false
+	for _, c := range h.take() {
+		_, ok := c.(executor.StopRun)
+		stopped = stopped || ok
+	}
+	if !stopped {
+		t.Error("the run of the deposed entry was not stopped")
+	}
+	if got, limit := h.x.ListRequest(h.now).LeaseUntil, granted+executor.BestEffortGrantDuration+150; got > limit {
+		t.Errorf("lease after the fence: got %d, want %d at most", got-granted, limit-granted)
+	}
+}
