scheduler: Give a resubmitted job attempts above its abandoned ones

An entry that had abandoned and removed a best-effort job began at the first attempt again when its caller came back, so a late end of the earlier run (of a paused or restarted sidecar) was taken for that of the new one, and the task started again beside it.

TestResubmissionHasHigherAttempts failed before: the attempt of the resubmission was that of the first run.

--- a/internal/scheduler/besteffort.go
+++ b/internal/scheduler/besteffort.go
@@ -37,7 +37,7 @@
 		s.pendingCommands = append(s.pendingCommands, Reply{Request: r, Result: Ended, State: e.state})
 		return
 	}
-	_, ranBefore := s.abandonedAfterStart[b.ID]
+	abandoned, ranBefore := s.abandonedAfterStart[b.ID]
 	elapsed := s.updatePatience(now, &b)
 	if reason, retryAfter := s.checkAdmission(now, b); reason != "" {
 		s.refuse(r, b, reason, retryAfter, ranBefore)
@@ -47,6 +47,7 @@
 	j = newJob(now, b)
 	j.sentAt = now - elapsed
 	j.ranBefore = ranBefore
+	j.baseAttempt = abandoned.attempt
 	j.submitters = []Request{r}
 	j.callerSeenAt = now
 	s.jobs[b.ID] = j
@@ -195,7 +196,11 @@
 func (s *Scheduler) removeBestEffort(now clock.Millis, j *job) {
 	s.removeJob(j)
 	if _, ended := s.ended[j.ID]; !ended && (j.ranBefore || j.hasRun()) {
-		s.abandonedAfterStart[j.ID] = now
+		a := abandonedJob{at: now, attempt: j.baseAttempt}
+		for i := range j.tasks {
+			a.attempt = max(a.attempt, j.tasks[i].attempt, j.tasks[i].attemptFloor)
+		}
+		s.abandonedAfterStart[j.ID] = a
 	}
 	if j.resubmitted == nil {
 		return
--- a/internal/scheduler/identity_test.go
+++ b/internal/scheduler/identity_test.go
@@ -151,3 +151,23 @@
 		t.Errorf("result after its end: got %q, want %q", got, want)
 	}
 }
+
+// Guards against a resubmission whose runs nothing distinguishes from those of the
+// submission that the same entry abandoned before: both began at the same attempt, so an
+// end of the earlier run counted for the later one.
+func TestResubmissionHasHigherAttempts(t *testing.T) {
+	b := newTestbed(t, 1)
+	r := b.submit(job("j", 1, true))
+	first := b.starts()[0]
+	b.report(first.at, event(first.run, wire.TaskEvent_STATE_RUNNING))
+	b.s.CallerDisconnected(b.now, r, "j")
+	b.tick()
+	b.report(first.at, event(first.run, wire.TaskEvent_STATE_STOPPED))
+	if got := b.s.OpenJobs(); got != 0 {
+		t.Fatalf("open jobs: got %d, want 0", got)
+	}
+	b.submit(job("j", 1, true))
+	if got := b.starts(); len(got) != 1 || got[0].run.Attempt <= first.run.Attempt {
+		t.Errorf("starts of the resubmission: got %v, want one above attempt %d", got, first.run.Attempt)
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -61,9 +61,9 @@
 	ended map[batch.JobID]endedJob
 	// endedOrder holds the ended jobs, oldest first.
 	endedOrder []batch.JobID
-	// abandonedAfterStart holds when best-effort jobs were removed that had run but
-	// not ended.
-	abandonedAfterStart map[batch.JobID]clock.Millis
+	// abandonedAfterStart holds best-effort jobs that were removed and had run but not
+	// ended.
+	abandonedAfterStart map[batch.JobID]abandonedJob
 	nodes               map[Address]*node
 	// nodeList holds the nodes in the order in which they first connected, so that
 	// the same events lead to the same decisions.
@@ -119,6 +119,13 @@
 	Takeovers, Ejections                                    int64
 }
 
+// abandonedJob is a best-effort job that was removed at a time. Its runs had attempts
+// up to attempt.
+type abandonedJob struct {
+	at      clock.Millis
+	attempt batch.Attempt
+}
+
 type endedJob struct {
 	state      batch.State
 	at         clock.Millis
@@ -133,7 +140,7 @@
 		rand:                rand.New(rand.NewPCG(s.Seed, s.Seed)), //nolint:gosec // spreads load, nothing secret
 		jobs:                make(map[batch.JobID]*job),
 		ended:               make(map[batch.JobID]endedJob),
-		abandonedAfterStart: make(map[batch.JobID]clock.Millis),
+		abandonedAfterStart: make(map[batch.JobID]abandonedJob),
 		nodes:               make(map[Address]*node),
 		sessions:            make(map[ownership.Incarnation]*node),
 		successors:          make(ownership.Successors),
@@ -219,8 +226,8 @@
 		delete(s.ended, id)
 		s.endedOrder = s.endedOrder[1:]
 	}
-	for id, at := range s.abandonedAfterStart {
-		if now-at >= keepBestEffort {
+	for id, a := range s.abandonedAfterStart {
+		if now-a.at >= keepBestEffort {
 			delete(s.abandonedAfterStart, id)
 		}
 	}
