executor: Keep the lease until a stored end is acknowledged

A worker whose runs had all ended got no lease any more. The end of a stored run that the store took later than 600 ms was acknowledged after the lease had expired, so it did not count, while the job was shown as complete.

The lease is now renewed while the end of a stored run is not acknowledged.

--- a/internal/executor/commands.go
+++ b/internal/executor/commands.go
@@ -24,7 +24,7 @@
 	// NotAfter is the time after which the call must not be made; the start then
 	// counts as refused.
 	NotAfter clock.Millis
-	Entry      ownership.Incarnation
+	Entry    ownership.Incarnation
 	// ReportSentAt is when the report was sent on which the entry's latest orders
 	// are based.
 	ReportSentAt clock.Millis
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -525,7 +525,8 @@
 // renewLease returns the new end of the worker's lease, 0 for no renewal, and
 // records it. started is a run that is about to start, or nil. The lease doesn't
 // outlast the grant of any run, apart from bestEffortStopMargin for best-effort
-// runs. A worker without active runs needs no lease: the next start sets it.
+// runs. A worker without active runs and unstored ends needs no lease: the next
+// start sets it.
 func (x *Executor) renewLease(now clock.Millis, started *run) clock.Millis {
 	if x.leaseExpiredBy != 0 {
 		return 0
@@ -539,7 +540,8 @@
 		if r.owner == "" && !r.acknowledgeable {
 			return 0
 		}
-		needed = needed || r.phase != ended
+		// The end of a stored run must be acknowledged before the lease expires.
+		needed = true
 		until = min(until, x.leaseLimit(r))
 	}
 	if !needed || until <= now {
