Bound the end of runs after the last check of their caller, stop them at once

The check of a caller was valid for 400 ms, and the lease of a run ends 1 s after the order that it rests on: 1.4 s after the check, when the caller may have come again after 1.3 s. It bounded the start of a run only. The check is now valid for 250 ms and repeated every 150 ms. The stops of a caller that a check found gone leave in the same turn of the control thread; they waited for the next one.

--- a/internal/entrynode/callers.go
+++ b/internal/entrynode/callers.go
@@ -124,6 +124,7 @@
 func (p *Process) checkCaller(c scheduler.CheckCaller) {
 	now := p.deps.Clock.Now()
 	if p.requests.gone(c.Request) {
+		p.callerFoundGone = true
 		p.core.CallerDisconnected(now, c.Request, c.Job)
 		return
 	}
--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -116,6 +116,9 @@
 	sidecarSessions map[ownership.Incarnation]*peer.Session
 	ctx             context.Context
 	storeFailing    bool
+	// callerFoundGone is true if a caller was found to have left in this turn of the
+	// control thread.
+	callerFoundGone bool
 	// ownerScans requests a scan of the owners of open jobs.
 	ownerScans chan struct{}
 	// quiesced is closed when callers send no more requests in a planned stop.
@@ -189,8 +192,11 @@
 func (p *Process) tick(now clock.Millis) bool {
 	p.deps.Jobs.ReportDropped(now)
 	p.updateStoreState(now)
-	for _, c := range p.core.Tick(now) {
-		p.execute(c)
+	p.runCore(now)
+	if p.callerFoundGone {
+		// The stops of its runs must not wait for the next turn.
+		p.callerFoundGone = false
+		p.runCore(now)
 	}
 	p.deps.Metrics.addCounters(p.core.Counters(), p.core.OpenJobs())
 	if p.deposed.Load() {
@@ -213,6 +219,12 @@
 	}
 }
 
+func (p *Process) runCore(now clock.Millis) {
+	for _, c := range p.core.Tick(now) {
+		p.execute(c)
+	}
+}
+
 func (p *Process) quiesce() {
 	if p.deps.Quiesce != nil {
 		p.deps.Quiesce()
--- a/internal/entrynode/joblines_test.go
+++ b/internal/entrynode/joblines_test.go
@@ -70,8 +70,11 @@
 	})
 }
 
+// firstAttempt is the first attempt of entry-1 for a task, derived from its name.
+const firstAttempt = 692_234
+
 func done(id batch.JobID) *wire.TaskEvent {
-	return &wire.TaskEvent{Run: batch.RunID{TaskID: batch.TaskID{Job: id}, Attempt: 1}.Wire(), State: wire.TaskEvent_STATE_DONE, RunMs: 50, BestEffort: true}
+	return &wire.TaskEvent{Run: batch.RunID{TaskID: batch.TaskID{Job: id}, Attempt: firstAttempt}.Wire(), State: wire.TaskEvent_STATE_DONE, RunMs: 50, BestEffort: true}
 }
 
 // Guards against a record that does not tell which entry ordered which run, on which
--- a/internal/scheduler/callers.go
+++ b/internal/scheduler/callers.go
@@ -8,12 +8,12 @@
 const (
 	// callerCheckInterval is the interval at which the callers of a best-effort job
 	// are checked to be connected.
-	callerCheckInterval = 250 * clock.Millis(1)
+	callerCheckInterval = 150 * clock.Millis(1)
 	// callerCheckValidity is how long after a check the tasks of a best-effort job
 	// may be started. A caller that leaves right after the check submits the job
-	// again 1.3 s later at the earliest; a start that takes effect up to 500 ms after
-	// it was ordered, the limit of the sidecars, comes before that.
-	callerCheckValidity = 400 * clock.Millis(1)
+	// again 1.3 s later at the earliest. By then the run must be over, also if it
+	// can't be stopped: its worker's lease ends 1 s after the order at the latest.
+	callerCheckValidity = 250 * clock.Millis(1)
 )
 
 // CheckCaller asks whether the caller of a request is still connected. The answer
