scheduler: Repeat cancellations until the owner of the job has heard of them

A caller that cancelled a stored job at an entry which had just restarted got its acknowledgement, but the run went on and further tasks could start: the entry told the others once, over the sessions that existed at that moment, and had none. The owner noticed only when its next write conflicted. An owner also dropped the note if it arrived before the result of the job's first write.

The core now keeps each cancellation for 10 s and sends it again with each session of another entry that starts and with each periodic note, every 500 ms. A note that meets the first write of a job is kept until its result.

TestCancellationDuringTheFirstWriteStartsNothing failed before (starts of a cancelled job: got 2, want none; state: got queued, want cancelled). TestCancellationIsRepeatedToOtherEntries fails without the repetition (notes with a new session: got none).

--- a/internal/entrynode/callers.go
+++ b/internal/entrynode/callers.go
@@ -190,7 +190,7 @@
 		end := &wire.StoredEnd{State: wire.StoredEnd_STATE_CANCELLED, EndedAtMs: int64(p.deps.Clock.Now()), Nonce: string(p.settings.Incarnation)}
 		if err = jobstore.Cancel(ctx, p.deps.Store, p.settings.Keys, open, end); err == nil {
 			p.deps.Log.Info("job cancelled for another entry", zap.String("job", string(id)), zap.String("owner", open.Record.GetOwner()))
-			p.push(func(clock.Millis) { p.broadcast(&wire.EntryNote{Cancelled: []string{string(id)}}) })
+			p.push(func(now clock.Millis) { p.core.RecordCancelledElsewhere(now, id) })
 			return true, nil
 		}
 	}
--- a/internal/entrynode/sessions.go
+++ b/internal/entrynode/sessions.go
@@ -41,9 +41,10 @@
 
 // Connected implements peer.Handler.
 func (h sessionHandler) Connected(s *peer.Session, hello *wire.Hello) error {
-	h.p.push(func(clock.Millis) {
+	h.p.push(func(now clock.Millis) {
 		if h.role == entryPeer {
 			h.p.entrySessions[s.Peer()] = s
+			h.p.core.EntryConnected(now)
 			return
 		}
 		address, ok := h.p.addresses.Load(s.Peer())
--- /dev/null
+++ b/internal/scheduler/cancellations_test.go
@@ -0,0 +1,79 @@
+package scheduler_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/teaseltide/teaseltide/internal/batch"
+	"github.com/teaseltide/teaseltide/internal/scheduler"
+	"github.com/teaseltide/teaseltide/internal/wire"
+	"github.com/teaseltide/teaseltide/pkg/clock"
+)
+
+// Guards against starts of a cancelled job: the note of the entry that cancelled it in
+// the store was dropped, because it arrived before the result of the job's first write.
+func TestCancellationDuringTheFirstWriteStartsNothing(t *testing.T) {
+	for name, result := range map[string]scheduler.SaveResult{"done": scheduler.SaveDone, "conflict": scheduler.SaveConflict} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestbed(t, 1)
+			r := b.submit(job("j", 2, false))
+			b.s.HandleEntryNote(b.now, "entry-b", &wire.EntryNote{Cancelled: []string{"j"}})
+			b.save(result)
+			if got, want := b.replies()[r].Result, scheduler.Stored; got != want {
+				t.Errorf("result of the submission: got %v, want %v", got, want)
+			}
+			b.advance(clock.Second)
+			if got := b.starts(); len(got) != 0 {
+				t.Errorf("starts of a cancelled job: got %v, want none", got)
+			}
+			if got := b.s.OpenJobs(); got != 0 {
+				t.Errorf("open jobs: got %d, want 0", got)
+			}
+			if state, _ := b.s.Status("j"); result == scheduler.SaveDone && state != batch.Cancelled {
+				t.Errorf("state: got %v, want %v", state, batch.Cancelled)
+			}
+		})
+	}
+}
+
+// cancellationNotes returns the number of notes since the last call that tell of the
+// cancellation of job j.
+func (b *testbed) cancellationNotes() int {
+	n := 0
+	for _, c := range b.takeCommands() {
+		if note, ok := c.(scheduler.BroadcastNote); ok && slices.Contains(note.Note.GetCancelled(), "j") {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against an owner that never learns of a cancellation: an entry told the others
+// once, over the sessions that existed at that moment.
+func TestCancellationIsRepeatedToOtherEntries(t *testing.T) {
+	b := newTestbed(t, 1)
+	b.advance(clock.Second)
+	b.s.RecordCancelledElsewhere(b.now, "j")
+	b.tick()
+	if got := b.cancellationNotes(); got == 0 {
+		t.Error("notes after the cancellation: got none")
+	}
+	b.s.EntryConnected(b.now)
+	b.tick()
+	if got := b.cancellationNotes(); got == 0 {
+		t.Error("notes with a new session: got none")
+	}
+	for second := range 9 {
+		b.advance(clock.Second)
+		if got := b.cancellationNotes(); got == 0 {
+			t.Errorf("notes in second %d: got none", second+1)
+		}
+	}
+	b.advance(1500)
+	b.takeCommands()
+	b.s.EntryConnected(b.now)
+	b.advance(clock.Second)
+	if got := b.cancellationNotes(); got != 0 {
+		t.Errorf("notes more than 10 s after the cancellation: got %d, want none", got)
+	}
+}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -37,9 +37,12 @@
 	recovering bool
 	// cancelled is true once a job is cancelled, or a best-effort job has ended or
 	// been abandoned.
-	cancelled  bool
-	finalState batch.State
-	tasks      []task
+	cancelled bool
+	// cancelledByPeer is true for a job that another entry has cancelled in the store
+	// before the result of the new-job write was known.
+	cancelledByPeer bool
+	finalState      batch.State
+	tasks           []task
 	// firstTask is the index in tasks of each step's first task.
 	firstTask []int
 	// remaining counts the tasks of each step that are not done.
@@ -187,7 +190,7 @@
 	}
 	switch kind {
 	case SaveNew:
-		s.handleNewJobSaved(j, result)
+		s.handleNewJobSaved(now, j, result)
 	case SaveProgress:
 		if result == SaveConflict {
 			s.relinquish(j)
@@ -200,7 +203,7 @@
 	s.advance(now, j)
 }
 
-func (s *Scheduler) handleNewJobSaved(j *job, result SaveResult) {
+func (s *Scheduler) handleNewJobSaved(now clock.Millis, j *job, result SaveResult) {
 	answer := Stored
 	if result == SaveRefused {
 		answer = NotStored
@@ -214,6 +217,9 @@
 		s.counters.Accepted++
 		s.enqueue(j)
 		s.logAccepted(j.acceptedAt, j)
+		if j.cancelledByPeer {
+			s.jobCancelledByPeer(now, j.ID)
+		}
 	case SaveRefused:
 		s.counters.Refused++
 		s.pendingCommands = append(s.pendingCommands, Decision{Summary: JobRefused, Job: j.ID, Route: j.Route, Reason: "store", Value: int64(storeRetryAfter)})
@@ -297,15 +303,6 @@
 	s.advance(now, j)
 }
 
-// jobCancelledByPeer handles the cancellation of a job in the store by another
-// entry.
-func (s *Scheduler) jobCancelledByPeer(now clock.Millis, id batch.JobID) {
-	if j := s.jobs[id]; j != nil && j.inFlight != newJobWrite {
-		j.finalState = batch.Cancelled
-		s.recordEnd(now, j)
-	}
-}
-
 // Status returns the state of a job, and whether this entry knows it.
 func (s *Scheduler) Status(id batch.JobID) (batch.State, bool) {
 	if e, ok := s.ended[id]; ok {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -93,6 +93,9 @@
 	// entryCount is the number of entries that share the workers.
 	entryCount  int
 	peerPending map[ownership.Incarnation]map[batch.Route]int64
+	// notedCancellations holds the recent cancellations of other entries' jobs, oldest
+	// first.
+	notedCancellations []notedCancellation
 	// drainBy is when a draining entry ends, 0 for one that is not draining.
 	drainBy clock.Millis
 	membership
@@ -235,6 +238,7 @@
 		s.notedPending = len(own) > 0
 		s.pendingCommands = append(s.pendingCommands, BroadcastNote{Note: &wire.EntryNote{Pending: own}})
 	}
+	s.repeatCancellations(now)
 }
 
 // Command is an action that the process carries out for the scheduler.
