entry: Submit no job without a key whose caller has left

A process that went on after a pause read the requests that had been queued meanwhile and started jobs without a key, although their callers had closed their connections and nobody could fetch the answers. The end of the connection reached the core after the job. The control thread now asks the kernel before it passes such a job to the core. Jobs with a key can be fetched later and start as before.

TestUnkeyedJobOfACallerThatLeftIsNotSubmitted stalls the control thread instead of the process. Not run on a paused process.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -30,7 +30,12 @@
 // disconnected or the control thread has exited.
 func (p *Process) awaitAnswer(ctx context.Context, request func(dispatch.RequestID) dispatch.Event) (*wire.Answer, bool) {
 	id, answer := p.requests.add()
-	if !p.loop.submit(request(id)) {
+	event := request(id)
+	var unkeyed *unkeyedRequest
+	if s, ok := event.(dispatch.Submit); ok && !s.Job.GetCallerKey() {
+		unkeyed = &unkeyedRequest{ctx, id}
+	}
+	if !p.loop.submit(event, unkeyed) {
 		p.requests.remove(id)
 		return nil, false
 	}
@@ -47,6 +52,16 @@
 	return nil, true
 }
 
+// unkeyedRequest is the request for a job without a key, for which only the caller's
+// connection can get the answer.
+type unkeyedRequest struct {
+	ctx context.Context
+	id  dispatch.RequestID
+}
+
+// isGone reports whether the caller has closed its connection; false for nil.
+func (r *unkeyedRequest) isGone() bool { return r != nil && httpd.PeerClosed(r.ctx) }
+
 // serveCallers starts the HTTP server of the callers' API.
 func (p *Process) serveCallers() (*httpd.Server, error) {
 	mux := http.NewServeMux()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"net"
 	"strings"
 	"sync"
@@ -111,6 +112,36 @@
 	}
 }
 
+// Guards against jobs without a key that start although their callers left before the
+// control thread, late in a process that was paused, read the request.
+func TestUnkeyedJobOfACallerThatLeftIsNotSubmitted(t *testing.T) {
+	e := startEntry(t, testSettings("a"), &fakeStore{})
+	stall := make(chan struct{})
+	e.core.mu.Lock()
+	e.core.stall = stall
+	e.core.mu.Unlock()
+	<-stall
+	keyed := `{"team":"t","service":"slow","key":"k","tasks":[{"payload":1}]}`
+	unkeyed := `{"team":"t","service":"slow","tasks":[{"payload":1}]}`
+	for n, body := range []string{unkeyed, keyed} {
+		c, err := net.Dial("tcp", e.callers.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(c, "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		eventually(t, "the request is queued", func() bool { return len(e.loop.submissions) == n+1 })
+		c.Close()
+	}
+	e.core.mu.Lock()
+	e.core.stall = nil
+	e.core.mu.Unlock()
+	close(stall)
+	if got, want := nextEvent[dispatch.Submit](t, e.core).Job.GetKey(), "k"; got != want {
+		t.Errorf("key of the first submitted job: got %q, want %q", got, want)
+	}
+	eventually(t, "the requests are released", func() bool { return e.requests.inFlight.Load() == 0 })
+}
+
 // Guards against an unbounded wait of callers for a control thread that lags
 // behind: requests beyond its queue are refused immediately with not-run, and a
 // refused job never reaches the core.
--- a/internal/entry/loop.go
+++ b/internal/entry/loop.go
@@ -37,6 +37,8 @@
 	session *peer.Session
 	core    dispatch.Event
 	call    func(Core)
+	// request is the handler that submitted a job without a key, else nil.
+	request *unkeyedRequest
 	// reason is why the session ended; set for disconnections only.
 	reason error
 }
@@ -95,12 +97,12 @@
 
 // submit queues a caller's request. It returns false if the queue is full, or if
 // the queue of events, which cannot be refused, is more than half full.
-func (l *loop) submit(e dispatch.Event) bool {
+func (l *loop) submit(e dispatch.Event, unkeyed *unkeyedRequest) bool {
 	if len(l.events) > cap(l.events)/2 {
 		return false
 	}
 	select {
-	case l.submissions <- event{core: e}:
+	case l.submissions <- event{core: e, request: unkeyed}:
 		return true
 	default:
 		return false
@@ -118,7 +120,7 @@
 		case e := <-l.events:
 			l.handle(e)
 		case e := <-l.submissions:
-			l.handle(e)
+			l.handleSubmission(e)
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
@@ -128,6 +130,16 @@
 	}
 }
 
+// handleSubmission passes a caller's request to the core, unless it is for a job
+// without a key and the caller is gone.
+func (l *loop) handleSubmission(e event) {
+	if e.request.isGone() {
+		l.p.requests.deliver(e.request.id, nil)
+		return
+	}
+	l.handle(e)
+}
+
 func (l *loop) drainEvents() {
 	for range eventsPerTick {
 		select {
@@ -138,7 +150,7 @@
 		}
 		select {
 		case e := <-l.submissions:
-			l.handle(e)
+			l.handleSubmission(e)
 		default:
 			return
 		}
