--- a/Makefile
+++ b/Makefile
@@ -93,11 +93,11 @@
 SOAK_SIZE ?= mixed
 SOAK_PARALLEL ?= 2
 soak: build
-	$(GO) run ./internal/soak/run --program $(BIN)/teaseltide-platform --seeds $(SEEDS) --size $(SOAK_SIZE) --parallel $(SOAK_PARALLEL)
+	$(GO) run ./platform/soak/run --program $(BIN)/teaseltide-platform --seeds $(SEEDS) --size $(SOAK_SIZE) --parallel $(SOAK_PARALLEL)
 
 # The soak of the CI script: the same seeds each time, in 60 to 90 s.
 soak-short: build
-	$(GO) run ./internal/soak/run --program $(BIN)/teaseltide-platform --seeds 1-10 --size mixed --parallel 2
+	$(GO) run ./platform/soak/run --program $(BIN)/teaseltide-platform --seeds 1-10 --size mixed --parallel 2
 
 # Repeats the tests on real processes under SOAK_SEEDS, so that faults meet jobs
 # at other stages. Takes about two minutes a seed.
--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -128,8 +128,8 @@
 }
 
 // mayOrder reports whether an entry may stop a run or acknowledge its end: the
-// owner, its successor, and any entry for an unclaimed run. Two entries that held
-// the same job one after the other number its runs alike.
+// owner, its successor, and any entry for an unclaimed run. An entry that held the
+// job before must not act on the runs of the present one.
 func (x *Executor) mayOrder(from ownership.Incarnation, r *run) bool {
 	owner, _ := x.successors.CurrentOwner(r.owner)
 	return owner == "" || owner == from
