scheduler: Ignore ended jobs in the records of a takeover

The logs show two takeovers by one entry within 5 ms, both with the same eight jobs: the first one ended them, the second had read their records before and began them anew.

A takeover now ignores jobs that this entry knows to have ended.

--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -569,6 +569,29 @@
 	}
 }
 
+// Guards against tasks that are started after their job has ended: of two takeovers
+// at one time, the second had read the job's record before the first ended the job.
+func TestTakeoverIgnoresJobsThatHaveEnded(t *testing.T) {
+	const dead = ownership.Incarnation("entry-z")
+	open := []scheduler.OpenJob{{ID: "j", Revision: 3, PreviousOwners: 1, Record: &wire.StoredJob{
+		Owner: string(dead), Service: "s", MaxFailures: 4, ObjectiveMs: 220, AcceptedAtMs: 1_000_000,
+		Steps: []*wire.StoredStep{{Count: 1, Cpu: 6000, MemoryMb: 10, EstimatedMs: 100}},
+	}}}
+	b := newTestbed(t, 1)
+	b.s.ApplyFences(map[ownership.Incarnation]ownership.Incarnation{dead: self})
+	b.s.RecoverJobs(b.now, dead, open, []scheduler.Address{address(0)})
+	b.tick()
+	done := event(batch.RunID{TaskID: batch.TaskID{Job: "j"}, Attempt: 1}, wire.TaskEvent_STATE_DONE)
+	b.send(address(0), &wire.TaskReport{Inventory: true, Fenced: []string{string(dead)}, Events: []*wire.TaskEvent{done}})
+	b.save(scheduler.SaveDone)
+	b.s.RecoverJobs(b.now, dead, open, []scheduler.Address{address(0)})
+	b.tick()
+	b.send(address(0), &wire.TaskReport{Inventory: true, Fenced: []string{string(dead)}})
+	if got := b.starts(); len(got) != 0 {
+		t.Errorf("starts of a job that has ended: got %v, want none", got)
+	}
+}
+
 // A successor starts only tasks that no sidecar knows of, with higher attempts,
 // and not before the sidecars have listed their runs.
 func TestTakeover(t *testing.T) {
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -71,7 +71,8 @@
 		}
 	}
 	for _, o := range jobs {
-		if s.jobs[o.ID] != nil {
+		// An earlier takeover may have ended the job after these records were read.
+		if _, ended := s.ended[o.ID]; ended || s.jobs[o.ID] != nil {
 			continue
 		}
 		j := jobFromRecord(o)
