executor: Report an unanswered start as lost after a restart of its worker

Callers could be told that a job had not run although one of its tasks had started: the answer to the start was lost, and the worker crashed with the run and started again before its lease was over. The first listing of the new incarnation under a higher token does not show the run, and the sidecar reported it as not started. That listing proves only that the start can no longer take effect. What ran on the earlier incarnation is not listed any more.

The run keeps the incarnation that its start was sent to. A listing of a later one now resolves it as lost, so the entry answers that the outcome is unknown.

Without the change: TestUnansweredStartBeforeARestartMayHaveRun got STATE_NOT_STARTED, want STATE_LOST.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -123,10 +123,12 @@
 	// stopOrderedAt is when an entry ordered the stop, 0 for a run that is not
 	// stopped or that this sidecar stopped.
 	stopOrderedAt clock.Millis
-	// token is the fencing token of the start.
-	token     int64
-	orderedAt clock.Millis
-	startedAt clock.Millis
+	// token is the fencing token of the start, workerIncarnation the worker's that it
+	// was sent to.
+	token             int64
+	workerIncarnation int64
+	orderedAt         clock.Millis
+	startedAt         clock.Millis
 	// acceptedAt is when this sidecar learned that the worker accepted the start.
 	acceptedAt clock.Millis
 	end        batch.Outcome
@@ -355,6 +357,7 @@
 		r.startedAt = now
 		r.lastProgressAt = now
 		r.token = x.token
+		r.workerIncarnation = x.worker.Incarnation
 		x.reserve(r)
 		granted := x.entry(r.owner).grantedFrom
 		x.commands = append(x.commands, StartRun{
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -273,6 +273,25 @@
 	}
 }
 
+// Guards against telling a caller that its job has not run although a task started:
+// the answer to the start was lost, and the worker restarted before a listing could
+// show the run.
+func TestUnansweredStartBeforeARestartMayHaveRun(t *testing.T) {
+	h := newHarness(t)
+	id := runID("j")
+	h.x.OrdersReceived(h.now, entryA, h.orders(start(id, 6000, true)))
+	h.tick()
+	h.x.StartAnswered(h.now, id, firstToken, executor.StartUnknown)
+	h.advance(20)
+	h.sequence = 0
+	h.report(2, 20_000)
+	h.list(h.x.ListRequest(h.now).Token, 2, nil, nil)
+	h.advance(20)
+	if got, want := h.states(entryA)[id], wire.TaskEvent_STATE_LOST; got != want {
+		t.Errorf("state: got %v, want %v", got, want)
+	}
+}
+
 // A report that was delayed by a network partition must not restore an earlier
 // incarnation.
 func TestStaleReportOfAnEarlierIncarnationIsIgnored(t *testing.T) {
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -230,6 +230,10 @@
 			continue
 		}
 		switch {
+		case r.phase == unanswered && l.Token > r.token && r.workerIncarnation != x.worker.Incarnation:
+			// It may have run on the earlier incarnation, whose runs are no longer listed.
+			x.endRun(now, r, batch.OutcomeLost)
+			r.acknowledgeable = true
 		case r.phase == unanswered && l.Token > r.token:
 			x.release(r)
 			x.returnTask(r)
