executor: Keep an unanswered start open while its worker may execute it late

Two runs of one task at once could follow from a worker that crashes and starts again under its ID: a start got no answer, the worker fell silent, and once its lease was over the sidecar reported the run as lost. The entry placed the task elsewhere or submitted the job again. The next incarnation of the worker, whose clock starts anew and which has seen no fencing token, then executed the start late. The token that the sidecar raises for a new incarnation voids late calls only from the first listing on.

The lease voids a late start on the same incarnation only. So a silent worker ends the runs that it has accepted, and an unanswered start stays open until a listing under a higher token resolves it, at most for 15 s. If the next incarnation executes it before that listing, it is the task's only run.

Without the change: TestUnansweredStartIsNotLostWhileItMayTakeEffect got STATE_LOST before the worker was back, want no state, in four of four cases.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -82,6 +82,9 @@
 	// unclaimedDelay is the time before an entry is asked, or asked again, whether
 	// the job of an unclaimed run is still open.
 	unclaimedDelay = 1 * clock.Second
+	// lateStartTimeout is how long after an unanswered start a worker may still
+	// execute it. Workers execute late calls within seconds.
+	lateStartTimeout = 15 * clock.Second
 	// attemptRetention is how long the highest attempt of a task is kept after its
 	// last order; no order is in flight for as long.
 	attemptRetention = 60 * clock.Second
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -292,6 +292,56 @@
 	}
 }
 
+// Guards against two runs of a task at once: the lease of a silent worker was over,
+// so an unanswered start was reported as lost and its task placed elsewhere. The
+// worker started again under its ID, executed the start late and had seen no token
+// that rejects it.
+func TestUnansweredStartIsNotLostWhileItMayTakeEffect(t *testing.T) {
+	ends := map[string]struct {
+		resolve func(h *harness, id batch.RunID)
+		want    wire.TaskEvent_State
+	}{
+		"executed by the next incarnation": {func(h *harness, id batch.RunID) {
+			h.list(h.x.ListRequest(h.now).Token, 2, []executor.ListedRun{{Run: id}}, nil)
+		}, wire.TaskEvent_STATE_RUNNING},
+		"rejected by the next incarnation": {func(h *harness, _ batch.RunID) {
+			h.list(h.x.ListRequest(h.now).Token, 2, nil, nil)
+			h.list(h.x.ListRequest(h.now).Token, 2, nil, nil)
+		}, wire.TaskEvent_STATE_LOST},
+		"rejected by another worker": {func(h *harness, _ batch.RunID) {
+			h.x.WorkerReported(h.now, executor.Worker{ID: "other", Incarnation: 2, Sequence: 1, Service: "s"})
+			h.list(h.x.ListRequest(h.now).Token, 2, nil, nil)
+		}, wire.TaskEvent_STATE_LOST},
+		"no worker again": {func(h *harness, _ batch.RunID) {
+			h.advance(15 * clock.Second)
+			h.x.WorkerUnreachable(h.now)
+		}, wire.TaskEvent_STATE_LOST},
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			id := runID("j")
+			h.x.OrdersReceived(h.now, entryA, h.orders(start(id, 6000, true)))
+			h.tick()
+			h.x.StartAnswered(h.now, id, firstToken, executor.StartUnknown)
+			for range 20 {
+				h.advance(100)
+				h.x.OrdersReceived(h.now, entryA, h.orders())
+				h.x.WorkerUnreachable(h.now)
+			}
+			h.advance(20)
+			if got, ok := h.states(entryA)[id]; ok {
+				t.Errorf("state before the worker is back: got %v, want none", got)
+			}
+			end.resolve(h, id)
+			h.advance(150)
+			if got := h.states(entryA)[id]; got != end.want {
+				t.Errorf("state: got %v, want %v", got, end.want)
+			}
+		})
+	}
+}
+
 // A report that was delayed by a network partition must not restore an earlier
 // incarnation.
 func TestStaleReportOfAnEarlierIncarnationIsIgnored(t *testing.T) {
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -132,7 +132,7 @@
 
 // WorkerUnreachable handles a listing without an answer. Nothing is started before
 // the next listing, since the worker may have been replaced. Once its lease has
-// expired, all its runs are lost.
+// expired, its runs are lost, but for starts that may still take effect.
 func (x *Executor) WorkerUnreachable(now clock.Millis) {
 	if x.runsListed {
 		x.runsListed = false
@@ -142,7 +142,11 @@
 		return
 	}
 	for _, r := range x.runs {
-		if r.phase == running || r.phase == starting || r.phase == unanswered {
+		isStart := r.phase == starting || r.phase == unanswered
+		// The lease does not void an unanswered start: the worker may start again under
+		// the same ID, with a clock by which the lease is not over and without the token
+		// that rejects the start. A later listing resolves it.
+		if r.phase == running || isStart && now-r.startedAt >= lateStartTimeout {
 			x.endRun(now, r, batch.OutcomeLost)
 			r.acknowledgeable = true
 		}
