executor: Report no unknown run as over before the first listing

A sidecar that has just restarted knows none of the runs that its predecessor started until the worker lists them. It answered the stop of such a run as not started and its adoption as lost. An entry whose job ended in between told its caller that nothing had run, or placed the task elsewhere beside the run.

The entry gets an inventory after the first listing in any case, which tells what became of each of its runs. Until then the sidecar gives no state of a run that it does not know.

--- a/internal/executor/owners_test.go
+++ b/internal/executor/owners_test.go
@@ -80,3 +80,33 @@
 		}
 	}
 }
+
+// Guards against a restarted sidecar that calls a run of its predecessor not started
+// or lost before the worker has listed it: the caller was told that its job had not
+// run, or the task was placed elsewhere beside the run.
+func TestUnlistedRunIsNotReportedAsOver(t *testing.T) {
+	id := runID("j")
+	for name, orders := range map[string]*wire.TaskOrders{
+		"stop":  {Stops: []*wire.TaskRun{id.Wire()}},
+		"adopt": {Adopts: []*wire.TaskStart{start(id, 6000, true)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := &harness{t: t, x: executor.New(firstToken, maxLease), now: 1_000_000}
+			h.x.FencesLoaded(h.now, nil)
+			h.report(1, 20_000)
+			h.x.EntryConnected(entryA)
+			h.tick()
+			orders.GrantedFrom = int64(h.now)
+			h.x.OrdersReceived(h.now, entryA, orders)
+			h.advance(150)
+			if got, ok := h.states(entryA)[id]; ok {
+				t.Errorf("state before the first listing: got %v, want none", got)
+			}
+			h.list(firstToken, 1, []executor.ListedRun{{Run: id}}, nil)
+			h.advance(20)
+			if got, want := h.states(entryA)[id], wire.TaskEvent_STATE_RUNNING; got != want {
+				t.Errorf("state after it: got %v, want %v", got, want)
+			}
+		})
+	}
+}
