sidecarnode: Log what became of a start without an answer

The record could not tell whether a start without an answer had been executed, was rejected or had been given up, nor whether its worker started again in between, which decides between the hypotheses of two runs at once. A line names the effect, the time since the start and a restart of the worker. Without the change TestResolutionOfAnUnansweredStartIsReported does not compile.

--- a/internal/executor/commands.go
+++ b/internal/executor/commands.go
@@ -83,6 +83,42 @@
 	OrderAge clock.Millis
 }
 
+// StartResolved reports what became of a start that got no answer. It asks for no
+// action.
+type StartResolved struct {
+	Run    batch.RunID
+	Entry  ownership.Incarnation
+	Effect StartEffect
+	// Age is the time since the start.
+	Age clock.Millis
+	// Replaced is true if the worker has a later incarnation than the one that the
+	// start was sent to.
+	Replaced bool
+}
+
+// StartEffect is what became of a start that got no answer.
+type StartEffect string
+
+// Effects of starts.
+const (
+	// StartExecuted means that the worker lists the run.
+	StartExecuted StartEffect = "executed"
+	// StartRejected means that the worker does not have the run and will reject the
+	// start.
+	StartRejected StartEffect = "rejected"
+	// StartUnresolved means that the run may have ended unseen.
+	StartUnresolved StartEffect = "unresolved"
+)
+
+// logResolved logs what became of a start if it got no answer.
+func (x *Executor) logResolved(now clock.Millis, r *run, effect StartEffect) {
+	if r.phase == unanswered {
+		x.commands = append(x.commands, StartResolved{
+			Run: r.id, Entry: r.owner, Effect: effect, Age: now - r.startedAt, Replaced: r.workerIncarnation != x.worker.Incarnation,
+		})
+	}
+}
+
 // RefusalReason is why an ordered run is not started.
 type RefusalReason string
 
@@ -156,6 +192,7 @@
 func (StopRun) command()        {}
 func (RunEnded) command()       {}
 func (OrderRefused) command()   {}
+func (StartResolved) command()  {}
 func (Report) command()         {}
 func (LeaseExpiring) command()  {}
 func (WorkerReplaced) command() {}
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -342,6 +342,43 @@
 	}
 }
 
+// Guards against a record that cannot tell whether a start without an answer had an
+// effect, and whether its worker started again in between.
+func TestResolutionOfAnUnansweredStartIsReported(t *testing.T) {
+	id := runID("j")
+	for name, tt := range map[string]struct {
+		born int64
+		runs []executor.ListedRun
+		want executor.StartResolved
+	}{
+		"executed":   {1, []executor.ListedRun{{Run: id}}, executor.StartResolved{Effect: executor.StartExecuted}},
+		"rejected":   {1, nil, executor.StartResolved{Effect: executor.StartRejected}},
+		"unresolved": {2, nil, executor.StartResolved{Effect: executor.StartUnresolved, Replaced: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.x.OrdersReceived(h.now, entryA, h.orders(start(id, 6000, true)))
+			h.tick()
+			h.x.StartAnswered(h.now, id, firstToken, executor.StartUnknown)
+			h.advance(20)
+			h.list(firstToken+1, tt.born, tt.runs, nil)
+			h.list(h.x.ListRequest(h.now).Token, tt.born, tt.runs, nil)
+			h.tick()
+			want := tt.want
+			want.Run, want.Entry, want.Age = id, entryA, 20
+			var got []executor.StartResolved
+			for _, c := range h.take() {
+				if r, ok := c.(executor.StartResolved); ok {
+					got = append(got, r)
+				}
+			}
+			if len(got) != 1 || got[0] != want {
+				t.Errorf("resolutions: got %+v, want %+v", got, want)
+			}
+		})
+	}
+}
+
 // A report that was delayed by a network partition must not restore an earlier
 // incarnation.
 func TestStaleReportOfAnEarlierIncarnationIsIgnored(t *testing.T) {
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -147,6 +147,7 @@
 		// the same ID, with a clock by which the lease is not over and without the token
 		// that rejects the start. A later listing resolves it.
 		if r.phase == running || isStart && now-r.startedAt >= lateStartTimeout {
+			x.logResolved(now, r, StartUnresolved)
 			x.endRun(now, r, batch.OutcomeLost)
 			r.acknowledgeable = true
 		}
@@ -236,9 +237,11 @@
 		switch {
 		case r.phase == unanswered && l.Token > r.token && r.workerIncarnation != x.worker.Incarnation:
 			// It may have run on the earlier incarnation, whose runs are no longer listed.
+			x.logResolved(now, r, StartUnresolved)
 			x.endRun(now, r, batch.OutcomeLost)
 			r.acknowledgeable = true
 		case r.phase == unanswered && l.Token > r.token:
+			x.logResolved(now, r, StartRejected)
 			x.release(r)
 			x.returnTask(r)
 		case r.phase == running && r.acceptedAt < l.RequestedAt && len(l.Ended) < maxListedEnds:
@@ -295,6 +298,7 @@
 		return
 	}
 	if r.phase == unanswered || r.phase == starting {
+		x.logResolved(now, r, StartExecuted)
 		r.phase = running
 		r.acceptedAt = now
 		x.addEvent(r, wire.TaskEvent_STATE_RUNNING)
@@ -321,6 +325,7 @@
 		return
 	}
 	r.endSequence = le.Sequence
+	x.logResolved(now, r, StartExecuted)
 	x.endRun(now, r, le.End)
 }
 
--- a/internal/sidecarnode/joblines.go
+++ b/internal/sidecarnode/joblines.go
@@ -48,6 +48,13 @@
 	}
 }
 
+func (p *Process) recordResolved(c executor.StartResolved) {
+	if log := p.deps.Jobs.Trouble(); log != nil {
+		log.Info("unanswered start resolved", runField(c.Run), entryField(c.Entry), zap.String("effect", string(c.Effect)),
+			zap.Int64("age-ms", int64(c.Age)), zap.Bool("worker-replaced", c.Replaced))
+	}
+}
+
 func entryField(id ownership.Incarnation) zap.Field { return zap.String("entry", string(id)) }
 
 func runField(id batch.RunID) zap.Field {
--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -205,6 +205,8 @@
 		p.recordEnd(c)
 	case executor.OrderRefused:
 		p.recordRefusal(c)
+	case executor.StartResolved:
+		p.recordResolved(c)
 	case executor.Report:
 		p.sendReport(c)
 	case executor.LeaseExpiring:
