executor: Count no refused listing as a renewal of the worker's lease

When a worker crashed, its runs were kept as running until it was back, seconds later, or until their callers' deadlines had passed. Each listing that the sidecar asked for counted as a renewal of the lease, also when the connection was refused. While entries renewed their grants, the lease by which WorkerUnreachable decides never expired.

The renewals of recent listings are now kept by request. A listing of which the client proves that it was not sent, because the connection could not be established, takes its renewal back. All others count, so a call that timed out or whose connection broke may still have renewed the lease. The runs that the worker has accepted are lost 150 ms after the last lease that a call may have requested; unanswered starts stay open as before. If this sidecar has sent no renewal that may have been executed, its first one counts, as an earlier sidecar may have renewed the lease.

--- a/internal/executor/commands.go
+++ b/internal/executor/commands.go
@@ -147,7 +147,7 @@
 		return RefusedNotReady
 	case orderAge > maxOrderAge:
 		return RefusedOrderTooOld
-	case r.bestEffort && x.leaseUntil > x.entry(r.owner).grantedFrom+maxLeaseAfterReport:
+	case r.bestEffort && x.latestLease() > x.entry(r.owner).grantedFrom+maxLeaseAfterReport:
 		return RefusedLeaseTooLong
 	}
 	return RefusedNoRoom
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -246,11 +246,16 @@
 	leaseExpiredBy clock.Millis
 	// maxLease is the longest lease that the worker grants.
 	maxLease clock.Millis
-	// leaseUntil is the latest end of the lease that was requested.
-	leaseUntil  clock.Millis
-	draining    bool
-	commands    []Command
-	nextSweepAt clock.Millis
+	// leaseUntil is the latest end of the lease that was requested by a call that may
+	// have been executed, apart from openRenewals.
+	leaseUntil clock.Millis
+	// openRenewals are the renewals of recent listings.
+	openRenewals []renewal
+	// lastListRequest is the number of the last ListRequest.
+	lastListRequest int64
+	draining        bool
+	commands        []Command
+	nextSweepAt     clock.Millis
 }
 
 // attempt is the highest attempt of a task that was ordered here.
@@ -348,13 +353,14 @@
 		if r.maxPerWorker > 0 && x.activeOfStep(r.id) >= r.maxPerWorker {
 			continue
 		}
-		if r.bestEffort && x.leaseUntil > x.entry(r.owner).grantedFrom+maxLeaseAfterReport {
+		if r.bestEffort && x.latestLease() > x.entry(r.owner).grantedFrom+maxLeaseAfterReport {
 			continue
 		}
-		lease := x.renewLease(now, r)
+		lease := x.nextLease(now, r)
 		if lease == 0 {
 			continue
 		}
+		x.leaseUntil = max(x.leaseUntil, lease)
 		r.phase = starting
 		r.orderedAt = now
 		r.startedAt = now
@@ -365,7 +371,7 @@
 		granted := x.entry(r.owner).grantedFrom
 		x.commands = append(x.commands, StartRun{
 			Worker: x.worker.ID, Run: r.id, Spec: r.spec, Token: x.token, LeaseUntil: lease, NotAfter: min(now+maxStartDelay, lease),
-			Entry: r.owner, ReportSentAt: granted, OrderAge: now - granted, LatestLease: x.leaseUntil,
+			Entry: r.owner, ReportSentAt: granted, OrderAge: now - granted, LatestLease: x.latestLease(),
 		})
 	}
 }
@@ -487,7 +493,7 @@
 			x.abandon(now, r)
 			continue
 		}
-		x.leaseExpiredBy = max(now, x.leaseUntil) + expiryMargin
+		x.leaseExpiredBy = max(now, x.latestLease()) + expiryMargin
 		x.commands = append(x.commands, LeaseExpiring{Entry: r.owner, Run: r.id, GrantEndedAt: expiry})
 		return
 	}
@@ -528,12 +534,11 @@
 // a renewal that is in flight.
 const expiryMargin = 150 * clock.Millis(1)
 
-// renewLease returns the new end of the worker's lease, 0 for no renewal, and
-// records it. started is a run that is about to start, or nil. The lease doesn't
+// nextLease returns the new end of the worker's lease, 0 for no renewal. started is a run that is about to start, or nil. The lease doesn't
 // outlast the grant of any run, apart from bestEffortStopMargin for best-effort
 // runs. A worker without active runs and unstored ends needs no lease: the next
 // start sets it.
-func (x *Executor) renewLease(now clock.Millis, started *run) clock.Millis {
+func (x *Executor) nextLease(now clock.Millis, started *run) clock.Millis {
 	if x.leaseExpiredBy != 0 {
 		return 0
 	}
@@ -553,7 +558,6 @@
 	if !needed || until <= now {
 		return 0
 	}
-	x.leaseUntil = max(x.leaseUntil, until)
 	return until
 }
 
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -54,6 +54,8 @@
 // ListRequest is a call that lists the worker's runs, renews its lease and
 // acknowledges ends.
 type ListRequest struct {
+	// Number distinguishes the requests of one Executor.
+	Number      int64
 	RequestedAt clock.Millis
 	Token       int64
 	// Cursor acknowledges the ends with sequences up to it.
@@ -62,8 +64,14 @@
 	LeaseUntil clock.Millis
 }
 
-// ListRequest returns the next call that lists the worker's runs. It records the
-// renewal of the lease as sent.
+// renewal is the renewal of the worker's lease by the ListRequest with this number.
+type renewal struct {
+	number int64
+	until  clock.Millis
+}
+
+// ListRequest returns the next call that lists the worker's runs. The renewal of the
+// lease counts as sent, unless ListingNotSent revokes it.
 func (x *Executor) ListRequest(now clock.Millis) ListRequest {
 	cursor := x.cursor
 	if !x.runsListed {
@@ -71,7 +79,47 @@
 		// would discard ends that this sidecar has not seen.
 		cursor = 0
 	}
-	return ListRequest{RequestedAt: now, Token: x.token, Cursor: cursor, LeaseUntil: x.renewLease(now, nil)}
+	x.lastListRequest++
+	until := x.nextLease(now, nil)
+	x.closeRenewals(func(r renewal) bool { return r.until <= now })
+	if until != 0 {
+		x.openRenewals = append(x.openRenewals, renewal{x.lastListRequest, until})
+	}
+	return ListRequest{Number: x.lastListRequest, RequestedAt: now, Token: x.token, Cursor: cursor, LeaseUntil: until}
+}
+
+// ListingNotSent handles a listing that certainly had no effect on the worker, such
+// as one whose connection was refused: it did not renew the lease. While no other
+// lease is known the renewal counts nevertheless, since an earlier sidecar may have
+// sent one.
+func (x *Executor) ListingNotSent(request ListRequest) {
+	isRequested := func(r renewal) bool { return r.number == request.Number }
+	if x.leaseUntil == 0 {
+		x.closeRenewals(isRequested)
+		return
+	}
+	x.openRenewals = slices.DeleteFunc(x.openRenewals, isRequested)
+}
+
+// closeRenewals makes the open renewals for which over is true count for good.
+func (x *Executor) closeRenewals(over func(renewal) bool) {
+	x.openRenewals = slices.DeleteFunc(x.openRenewals, func(r renewal) bool {
+		if !over(r) {
+			return false
+		}
+		x.leaseUntil = max(x.leaseUntil, r.until)
+		return true
+	})
+}
+
+// latestLease returns the latest end of the lease that a call may have requested from
+// the worker, 0 for none.
+func (x *Executor) latestLease() clock.Millis {
+	until := x.leaseUntil
+	for _, r := range x.openRenewals {
+		until = max(until, r.until)
+	}
+	return until
 }
 
 // WorkerReported handles the worker's report about itself.
@@ -117,6 +165,7 @@
 	x.runsListed = false
 	x.cursor = 0
 	x.leaseUntil = 0
+	x.openRenewals = nil
 	x.leaseExpiredBy = 0
 	if x.worker.Incarnation != 0 {
 		// Calls to the previous incarnation may still be executed by this one, which
@@ -138,7 +187,7 @@
 		x.runsListed = false
 		x.loadVersion++
 	}
-	if x.leaseUntil == 0 || now < x.leaseUntil+expiryMargin {
+	if lease := x.latestLease(); lease == 0 || now < lease+expiryMargin {
 		return
 	}
 	for _, r := range x.runs {
@@ -272,6 +321,7 @@
 func (x *Executor) leaseExpired(now clock.Millis) {
 	x.leaseExpiredBy = 0
 	x.leaseUntil = 0
+	x.openRenewals = nil
 	for _, r := range x.runs {
 		if e := x.entries[r.owner]; r.phase == ended && (e == nil || now >= e.storedGrantedFrom+GrantDuration) {
 			r.acknowledgeable = true
--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -43,13 +43,18 @@
 	// the worker has seen a higher token.
 	Stop(ctx context.Context, stop executor.StopRun) error
 	// List lists the runs and renews the lease. It waits up to wait for a run to
-	// end. The error is ErrFenced if the worker has seen a higher token.
+	// end. The error is ErrFenced if the worker has seen a higher token, ErrNotSent
+	// if the call certainly had no effect.
 	List(ctx context.Context, request executor.ListRequest, wait clock.Millis) (executor.Listing, error)
 }
 
 // ErrFenced reports that the worker has seen a higher token.
 var ErrFenced = errors.New("the worker has seen a higher token")
 
+// ErrNotSent reports that a call was not sent, for example because the connection
+// was refused.
+var ErrNotSent = errors.New("the call was not sent")
+
 // Deps are the dependencies of a sidecar.
 type Deps struct {
 	Worker    Worker
@@ -339,6 +344,11 @@
 		if now-clock.Millis(p.lastAnswerAt.Load()) >= unreachableAfter {
 			p.push(func(now clock.Millis) { p.core.WorkerUnreachable(now) })
 		}
+	case errors.Is(err, ErrNotSent):
+		p.push(func(now clock.Millis) {
+			p.core.ListingNotSent(request)
+			p.core.WorkerUnreachable(now)
+		})
 	default:
 		p.push(func(now clock.Millis) { p.core.WorkerUnreachable(now) })
 	}
--- a/internal/sidecarnode/sidecarnode_test.go
+++ b/internal/sidecarnode/sidecarnode_test.go
@@ -32,6 +32,8 @@
 	// starts and lostStarts count the starts; one of lostStartEvery is neither
 	// executed nor answered, 0 for none.
 	starts, lostStarts, lostStartEvery int
+	// crashed is true after a start if crashesAtStart; then no listing is sent.
+	crashed, crashesAtStart bool
 }
 
 const runTime = 30 * time.Millisecond
@@ -50,6 +52,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.crashed = w.crashesAtStart
 	w.running[s.Run.TaskID] = s.Run
 	time.AfterFunc(runTime, func() {
 		w.mu.Lock()
@@ -65,6 +68,10 @@
 
 func (w *fakeWorker) List(ctx context.Context, r executor.ListRequest, wait clock.Millis) (executor.Listing, error) {
 	w.mu.Lock()
+	if w.crashed {
+		w.mu.Unlock()
+		return executor.Listing{}, sidecarnode.ErrNotSent
+	}
 	w.listings++
 	lost := w.lostEvery > 0 && w.listings%w.lostEvery == 0
 	if lost {
@@ -145,6 +152,9 @@
 			orders.Stored = append(orders.Stored, event.GetRun())
 			e.endTimes[event.GetRun().GetJob()] <- time.Now()
 		}
+		if event.GetState() == wire.TaskEvent_STATE_LOST {
+			e.endTimes[event.GetRun().GetJob()] <- time.Now()
+		}
 		if event.GetState() == wire.TaskEvent_STATE_NOT_STARTED {
 			orders.Starts = append(orders.Starts, taskStart(event.GetRun().GetJob(), batch.Attempt(event.GetRun().GetAttempt()+1)))
 		}
@@ -196,7 +206,28 @@
 	testLossyWorker(t, &fakeWorker{running: make(map[batch.TaskID]batch.RunID), lostEvery: 10, lostStartEvery: 10})
 }
 
-func testLossyWorker(t *testing.T, w *fakeWorker) {
+// Guards against the runs of a crashed worker that are kept until it is back: each
+// refused listing counted as a renewal of its lease.
+func TestRunsOfAWorkerThatRefusesConnectionsAreLost(t *testing.T) {
+	w := &fakeWorker{running: make(map[batch.TaskID]batch.RunID), crashesAtStart: true}
+	e := startSidecar(t, w)
+	since := time.Now()
+	ended := e.startTask("j")
+	// The lease of 600 ms, its margin of 150 ms, two listings 100 ms apart and a report.
+	const want = 1200 * time.Millisecond
+	select {
+	case at := <-ended:
+		if got := at.Sub(since); got < 500*time.Millisecond || got > want {
+			t.Errorf("loss of the run after the worker's crash: got after %v, want 500ms to %v", got, want)
+		}
+	case <-time.After(3 * time.Second):
+		t.Errorf("loss of the run after the worker's crash: got none in 3s, want it within %v", want)
+	}
+}
+
+// startSidecar starts a sidecar beside a worker, and an entry for which it accepts
+// tasks.
+func startSidecar(t *testing.T, w *fakeWorker) *fakeEntry {
 	t.Helper()
 	clk := clock.NewSystem()
 	cfg := peer.DefaultConfig()
@@ -210,12 +241,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan error, 1)
 	go func() { stopped <- p.Run(ctx) }()
-	defer func() {
+	t.Cleanup(func() {
 		cancel()
 		if err := <-stopped; err != nil {
 			t.Error(err)
 		}
-	}()
+	})
 	for i := range 3 {
 		p.WorkerReported(executor.Worker{ID: "w", Incarnation: 1, Sequence: int64(i + 1), Service: "s", Capacity: batch.Resources{CPU: 1000}})
 	}
@@ -227,13 +258,21 @@
 		t.Fatal(err)
 	}
 	dialer := node.Dial(peer.Target{Incarnation: ownership.Incarnation("sidecar-1"), Address: cfg.Listen}, e)
-	defer node.Close(context.Background())
-	defer dialer.Close()
+	t.Cleanup(func() {
+		dialer.Close()
+		node.Close(context.Background())
+	})
 	select {
 	case <-e.ready:
 	case <-time.After(10 * time.Second):
 		t.Fatal("the sidecar accepts no tasks")
 	}
+	return e
+}
+
+func testLossyWorker(t *testing.T, w *fakeWorker) {
+	t.Helper()
+	e := startSidecar(t, w)
 	const tasks = 150
 	slow := 0
 	for i := range tasks {
