platform: Decode each registration by itself

One registration that could not be decoded (20,000 nested brackets, a number out of range, another type, broken JSON) made decodeAll fail for the whole list. WatchSidecars and WatchEntries then delivered nothing: an entry that started followed no sidecar, and a running one kept its old list. ListSidecars failed as well, so takeovers were repeated for ever. Addresses were used as stored, also with a port of 65536 or without a port, and a registration could name another process than its key.

Each registration is now decoded by itself and bounded to 4 KiB. Its incarnation must equal the key's and its address must be an IP address with a port. One that is not valid is passed to OnError once per value and listed by its key in Unreadable. The decision of a takeover depends on the keys: an entry is registered as long as its key exists, and a takeover treats a sidecar without a valid registration like a silent one, until StoreContactTimeout plus GrantDuration. A key without the form of an incarnation names no process, so it delays nothing. A missing domain is accepted, as it only affects placement.

TestTakeoverAwaitsUnreadableSidecars fails without awaitsSilence: "started after 0 ms, ... want 14000 ms". TestWatchDetectsMissedDeletion registers its sidecars with an address now, because a registration without one is not valid.

--- a/internal/capacity/store.go
+++ b/internal/capacity/store.go
@@ -89,7 +89,7 @@
 	id := ownership.Incarnation(fmt.Sprintf("entry-%d-abcdefghij", entry))
 	running.Go(func() { d.KeepEntry(ctx, platform.EntryRegistration{Incarnation: id, Domain: domainName(entry)}, nil) })
 	running.Go(func() { d.WatchRecord(ctx, func(ownership.Record) {}) })
-	running.Go(func() { d.WatchEntries(ctx, func([]platform.EntryRegistration) {}) })
+	running.Go(func() { d.WatchEntries(ctx, func(platform.EntryListing) {}) })
 	running.Go(func() { d.WatchSidecars(ctx, func(platform.SidecarListing) {}) })
 	running.Go(func() { d.WatchText(ctx, func(platform.Text) {}) })
 }
--- a/internal/dispatch/sidecars.go
+++ b/internal/dispatch/sidecars.go
@@ -265,8 +265,10 @@
 		listed[r.Sidecar] = struct{}{}
 		s := c.ensureSidecar(r.Sidecar)
 		s.registered = true
-		s.domain = r.Domain
-		s.address = r.Address
+		if r.Address != "" {
+			s.domain = r.Domain
+			s.address = r.Address
+		}
 		if s.connected {
 			c.markSuperseded(s)
 		}
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -187,12 +187,12 @@
 
 func (s *fakeStore) WatchRecord(ctx context.Context, _ func(ownership.Record)) { <-ctx.Done() }
 
-func (s *fakeStore) WatchEntries(ctx context.Context, deliver func([]platform.EntryRegistration)) {
+func (s *fakeStore) WatchEntries(ctx context.Context, deliver func(platform.EntryListing)) {
 	poll(ctx, func() {
 		s.mu.Lock()
 		entries := s.entries
 		s.mu.Unlock()
-		deliver(entries)
+		deliver(platform.EntryListing{Registrations: entries})
 	})
 }
 
--- a/internal/entry/store.go
+++ b/internal/entry/store.go
@@ -19,7 +19,7 @@
 type Store interface {
 	KeepEntry(ctx context.Context, e platform.EntryRegistration, registered func(bool))
 	WatchRecord(ctx context.Context, deliver func(ownership.Record))
-	WatchEntries(ctx context.Context, deliver func([]platform.EntryRegistration))
+	WatchEntries(ctx context.Context, deliver func(platform.EntryListing))
 	WatchSidecars(ctx context.Context, deliver func(platform.SidecarListing))
 	WatchText(ctx context.Context, deliver func(platform.Text))
 	ReadRecord(ctx context.Context) (ownership.Record, error)
@@ -69,11 +69,13 @@
 }
 
 // handleEntries handles a list of the entries. It dials those with a lower
-// incarnation; the others dial this one.
-func (p *Process) handleEntries(all []platform.EntryRegistration) {
-	members := make([]ownership.Member, 0, len(all))
+// incarnation; the others dial this one. An entry whose registration cannot be read
+// is no member, because partitions must not be assigned to a process that may not
+// exist.
+func (p *Process) handleEntries(all platform.EntryListing) {
+	members := make([]ownership.Member, 0, len(all.Registrations))
 	var targets []peer.Target
-	for _, e := range all {
+	for _, e := range all.Registrations {
 		members = append(members, ownership.Member{Incarnation: e.Incarnation, Domain: e.Domain})
 		if e.Incarnation < p.settings.Incarnation {
 			targets = append(targets, peer.Target{Incarnation: e.Incarnation, Address: e.PeerAddress})
@@ -90,6 +92,11 @@
 		registrations = append(registrations, dispatch.Registration(r))
 		targets = append(targets, peer.Target{Incarnation: r.Sidecar, Address: r.Address})
 	}
+	// A takeover also waits for the sidecars that cannot be dialled, until they are
+	// taken as lost.
+	for _, id := range all.Unreadable {
+		registrations = append(registrations, dispatch.Registration{Sidecar: id})
+	}
 	p.dialSidecars(int64(all.Revision), targets)
 	p.loop.pushCore(dispatch.RegistrationsListed{
 		RecordRevision: recordRevision, Revision: int64(all.Revision), Registrations: registrations,
--- a/internal/entrynode/members.go
+++ b/internal/entrynode/members.go
@@ -36,10 +36,11 @@
 // then gets configurations only from the others.
 const lapsedEntryRetention = 30 * clock.Second
 
-func (p *Process) handleEntries(all []platform.EntryRegistration) {
+func (p *Process) handleEntries(all platform.EntryListing) {
 	now := p.deps.Clock.Now()
-	live := make([]ownership.Incarnation, 0, len(all))
-	for _, e := range all {
+	// An entry is registered as long as its key exists, whatever the value is.
+	live := append(make([]ownership.Incarnation, 0, len(all.Registrations)), all.Unreadable...)
+	for _, e := range all.Registrations {
 		live = append(live, e.Incarnation)
 		// The entry with the higher incarnation dials.
 		if e.Incarnation < p.settings.Incarnation {
@@ -55,7 +56,7 @@
 		targets = append(targets, t)
 	}
 	p.entries.Set(targets)
-	p.committer.SetInterval(max(minCommitInterval, clock.Millis(float64(clock.Second)*float64(len(all))/(p.settings.WritesPerSecond*writeRateShare))))
+	p.committer.SetInterval(max(minCommitInterval, clock.Millis(float64(clock.Second)*float64(len(all.Registrations))/(p.settings.WritesPerSecond*writeRateShare))))
 	p.push(func(clock.Millis) { p.core.SetEntries(live) })
 }
 
@@ -152,7 +153,7 @@
 	fences := p.settings.Keys.DecodeDeposed(deposed.KeyValues)
 	p.push(func(now clock.Millis) {
 		p.core.ApplyFences(fences)
-		p.core.RecoverJobs(now, entry, p.takenOverJobs(jobs), addresses)
+		p.core.RecoverJobs(now, entry, p.takenOverJobs(jobs), addresses, len(sidecars.Unreadable))
 	})
 	return nil
 }
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -5,6 +5,8 @@
 
 import (
 	"strconv"
+	"strings"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -26,6 +28,24 @@
 	Domain string
 )
 
+// maxIncarnationBytes bounds a well-formed incarnation. A name is at most a host
+// name of 253 bytes, and a nonce has at most 26 characters.
+const maxIncarnationBytes = 280
+
+// IsWellFormed reports whether i has the form of an incarnation: a name, a dash and
+// a nonce of ASCII letters and digits.
+func (i Incarnation) IsWellFormed() bool {
+	dash := strings.LastIndexByte(string(i), '-')
+	if dash < 1 || dash == len(i)-1 || len(i) > maxIncarnationBytes || !utf8.ValidString(string(i)) {
+		return false
+	}
+	return strings.IndexFunc(string(i[dash+1:]), isNotAlphanumeric) < 0
+}
+
+func isNotAlphanumeric(r rune) bool {
+	return (r < '0' || r > '9') && (r < 'A' || r > 'Z') && (r < 'a' || r > 'z')
+}
+
 // PartitionOf returns the partition of a service.
 func PartitionOf(service string) Partition {
 	return Partition(xxhash.Sum64String(service) % Partitions)
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -79,3 +80,17 @@
 	fmt.Println(changed, next.Partitions[p].Owner != next.Partitions[p].Successor, next.Partitions[p].Epoch)
 	// Output: true true 2
 }
+
+// Guards against keys of other writers that are taken as processes, and against
+// incarnations that are not.
+func TestIsWellFormed(t *testing.T) {
+	for id, want := range map[ownership.Incarnation]bool{
+		"entry-1-abcdefghij": true, "side-1-x": true, "a-ABC7": true,
+		"": false, "a": false, "-x": false, "a-": false, "a-b/c": false, "a-\xff": false, "\xff-x": false,
+		ownership.Incarnation(strings.Repeat("a", 1000)) + "-x": false,
+	} {
+		if got := id.IsWellFormed(); got != want {
+			t.Errorf("%.20q: got well-formed %v, want %v", id, got, want)
+		}
+	}
+}
--- a/internal/platform/directory.go
+++ b/internal/platform/directory.go
@@ -69,7 +69,8 @@
 	Recovery *Recovery
 	// OnError, if not nil, is called for errors after which a watch or
 	// registration is retried: with the first error after a success, and with
-	// each value that cannot be decoded.
+	// each value that cannot be decoded. A malformed registration is passed once
+	// per value. Calls may be concurrent.
 	OnError func(error)
 }
 
@@ -78,6 +79,9 @@
 type Directory struct {
 	store    Store
 	settings DirectorySettings
+	// unreadableSidecars and unreadableEntries hold the registrations that were
+	// reported to OnError.
+	unreadableSidecars, unreadableEntries UnreadableValues
 }
 
 // NewDirectory returns a Directory over store.
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -355,7 +355,7 @@
 	f := setup(t, 0)
 	ctx := t.Context()
 	for _, sidecar := range []ownership.Incarnation{"a", "b"} {
-		if err := f.directory.RegisterSidecar(ctx, platform.SidecarRegistration{Sidecar: sidecar}); err != nil {
+		if err := f.directory.RegisterSidecar(ctx, platform.SidecarRegistration{Sidecar: sidecar, Address: "127.0.0.1:1"}); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/platform/recovery_test.go
+++ b/internal/platform/recovery_test.go
@@ -22,7 +22,7 @@
 	defer cancel()
 	f.server.SetFaults(store.Faults{Down: true})
 	var slowDelivered, fastDelivered atomic.Bool
-	go slow.WatchEntries(ctx, func([]platform.EntryRegistration) { slowDelivered.Store(true) })
+	go slow.WatchEntries(ctx, func(platform.EntryListing) { slowDelivered.Store(true) })
 	go fast.WatchText(ctx, func(platform.Text) { fastDelivered.Store(true) })
 	// After this time, the backoff of the slow watch is longer than a second.
 	time.Sleep(2500 * time.Millisecond)
--- a/internal/platform/registration.go
+++ b/internal/platform/registration.go
@@ -4,8 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net/netip"
+	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/pkg/clock"
 )
@@ -17,6 +21,9 @@
 	// registerAttempts bounds the writes of an entry's key, which can conflict
 	// with the expiry of its previous lease.
 	registerAttempts = 4
+	// maxRegistrationBytes bounds a stored registration; its three fields need a
+	// few hundred bytes.
+	maxRegistrationBytes = 4096
 )
 
 // SidecarRegistration is the stored registration of a sidecar. Its fields are
@@ -33,6 +40,9 @@
 	// Revision of the store at which the registrations were read.
 	Revision      Revision
 	Registrations []SidecarRegistration
+	// Unreadable holds the sidecars named by the keys whose values are not valid
+	// registrations. They cannot be dialled, but may hold runs.
+	Unreadable []ownership.Incarnation
 }
 
 // EntryRegistration is the stored registration of an entry, which is deleted
@@ -44,6 +54,40 @@
 	PeerAddress string `json:"peer-address"`
 }
 
+// EntryListing holds all registrations of entries, ordered by incarnation.
+type EntryListing struct {
+	Registrations []EntryRegistration
+	// Unreadable holds the entries named by the keys whose values are not valid
+	// registrations. They cannot be dialled, but are registered.
+	Unreadable []ownership.Incarnation
+}
+
+func (r SidecarRegistration) check(key ownership.Incarnation) error {
+	return checkRegistration(key, r.Sidecar, r.Address)
+}
+
+func (e EntryRegistration) check(key ownership.Incarnation) error {
+	return checkRegistration(key, e.Incarnation, e.PeerAddress)
+}
+
+// checkRegistration checks the required fields. The domain may be empty, because it
+// only affects the choice between processes.
+func checkRegistration(key, incarnation ownership.Incarnation, address string) error {
+	if incarnation != key {
+		return errors.Errorf("incarnation %.100q differs from the key", incarnation)
+	}
+	if !IsDialable(address) {
+		return errors.Errorf("%.100q is not an IP address with a port", address)
+	}
+	return nil
+}
+
+// IsDialable reports whether address is an IP address with a port from 1 to 65535.
+func IsDialable(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && a.Port() != 0
+}
+
 // RegisterSidecar creates the registration of a sidecar. It also succeeds if an
 // equal registration exists, so that it can be repeated after any error.
 func (d *Directory) RegisterSidecar(ctx context.Context, r SidecarRegistration) error {
@@ -85,34 +129,74 @@
 	return nil
 }
 
-// ListSidecars returns all registrations of sidecars. It fails if one of them
-// is malformed, because a takeover must not overlook a sidecar.
+// ListSidecars returns all registrations of sidecars. Those that cannot be read
+// are listed by their keys, because a takeover must not overlook a sidecar.
 func (d *Directory) ListSidecars(ctx context.Context) (SidecarListing, error) {
 	listing, err := d.store.Range(ctx, Prefix(d.key(keySidecars)), 0)
 	if err != nil {
 		return SidecarListing{}, withOperation(OpListSidecars, err)
 	}
-	all, err := decodeAll[SidecarRegistration](OpListSidecars, listing.KeyValues)
-	return SidecarListing{Revision: listing.Revision, Registrations: all}, err
+	return d.sidecarListing(listing.KeyValues, listing.Revision), nil
 }
 
-// ListEntries returns all registrations of entries, ordered by incarnation.
+func (d *Directory) sidecarListing(kvs []KeyValue, revision Revision) SidecarListing {
+	all, unreadable, named := decodeRegistrations[SidecarRegistration](d.key(keySidecars), kvs)
+	d.report(OpListSidecars, d.unreadableSidecars.Update(unreadable))
+	return SidecarListing{Revision: revision, Registrations: all, Unreadable: named}
+}
+
+// ListEntries returns the valid registrations of entries, ordered by incarnation.
 func (d *Directory) ListEntries(ctx context.Context) ([]EntryRegistration, error) {
 	listing, err := d.store.Range(ctx, Prefix(d.key(keyEntries)), 0)
 	if err != nil {
 		return nil, withOperation(OpListEntries, err)
 	}
-	return decodeAll[EntryRegistration](OpListEntries, listing.KeyValues)
+	return d.entryListing(listing.KeyValues).Registrations, nil
+}
+
+func (d *Directory) entryListing(kvs []KeyValue) EntryListing {
+	all, unreadable, named := decodeRegistrations[EntryRegistration](d.key(keyEntries), kvs)
+	d.report(OpListEntries, d.unreadableEntries.Update(unreadable))
+	return EntryListing{Registrations: all, Unreadable: named}
 }
 
-func decodeAll[T any](op Operation, kvs []KeyValue) ([]T, error) {
-	out := make([]T, len(kvs))
-	for i, kv := range kvs {
-		if err := json.Unmarshal(kv.Value, &out[i]); err != nil {
-			return nil, &Error{Operation: op, Kind: Malformed, Key: kv.Key, Err: err}
+// decodeRegistrations decodes each registration by itself, so that an invalid one,
+// which another writer may have left, does not hide the others. It also returns the
+// processes that the keys of invalid ones name.
+func decodeRegistrations[T interface {
+	check(key ownership.Incarnation) error
+}](prefix string, kvs []KeyValue,
+) (valid []T, unreadable []UnreadableValue, named []ownership.Incarnation) {
+	for _, kv := range kvs {
+		id := ownership.Incarnation(strings.TrimPrefix(kv.Key, prefix))
+		var r T
+		err := decodeBounded(kv.Value, &r)
+		if err == nil {
+			err = r.check(id)
+		}
+		if err == nil {
+			valid = append(valid, r)
+			continue
 		}
+		unreadable = append(unreadable, UnreadableValue{KeyValue: kv, Err: err})
+		if id.IsWellFormed() {
+			named = append(named, id)
+		}
+	}
+	return valid, unreadable, named
+}
+
+func (d *Directory) report(op Operation, unreadable []UnreadableValue) {
+	for _, v := range unreadable {
+		d.settings.OnError(&Error{Operation: op, Kind: Malformed, Key: v.Key, Err: v.Err})
+	}
+}
+
+func decodeBounded(value []byte, target any) error {
+	if len(value) > maxRegistrationBytes {
+		return errors.Errorf("%d bytes exceed %d", len(value), maxRegistrationBytes)
 	}
-	return out, nil
+	return errors.WithStack(json.Unmarshal(value, target))
 }
 
 // EntryKey returns the key under which an entry is registered.
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -50,24 +50,18 @@
 // WatchSidecars delivers all registrations of sidecars initially and after each
 // change until ctx ends.
 func (d *Directory) WatchSidecars(ctx context.Context, deliver func(SidecarListing)) {
-	watchRegistrations(ctx, d, OpListSidecars, keySidecars, func(all []SidecarRegistration, revision Revision) {
-		deliver(SidecarListing{Revision: revision, Registrations: all})
+	d.watch(ctx, Prefix(d.key(keySidecars)), func(kvs []KeyValue, revision Revision) error {
+		deliver(d.sidecarListing(kvs, revision))
+		return nil
 	})
 }
 
 // WatchEntries delivers all registrations of entries initially and after each
 // change until ctx ends.
-func (d *Directory) WatchEntries(ctx context.Context, deliver func([]EntryRegistration)) {
-	watchRegistrations(ctx, d, OpListEntries, keyEntries, func(all []EntryRegistration, _ Revision) { deliver(all) })
-}
-
-func watchRegistrations[T any](ctx context.Context, d *Directory, op Operation, name string, deliver func([]T, Revision)) {
-	d.watch(ctx, Prefix(d.key(name)), func(kvs []KeyValue, revision Revision) error {
-		all, err := decodeAll[T](op, kvs)
-		if err == nil {
-			deliver(all, revision)
-		}
-		return err
+func (d *Directory) WatchEntries(ctx context.Context, deliver func(EntryListing)) {
+	d.watch(ctx, Prefix(d.key(keyEntries)), func(kvs []KeyValue, _ Revision) error {
+		deliver(d.entryListing(kvs))
+		return nil
 	})
 }
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -579,12 +579,12 @@
 	}}}
 	b := newTestbed(t, 1)
 	b.s.ApplyFences(map[ownership.Incarnation]ownership.Incarnation{dead: self})
-	b.s.RecoverJobs(b.now, dead, open, []scheduler.Address{address(0)})
+	b.s.RecoverJobs(b.now, dead, open, []scheduler.Address{address(0)}, 0)
 	b.tick()
 	done := event(batch.RunID{TaskID: batch.TaskID{Job: "j"}, Attempt: 1}, wire.TaskEvent_STATE_DONE)
 	b.send(address(0), &wire.TaskReport{Inventory: true, Fenced: []string{string(dead)}, Events: []*wire.TaskEvent{done}})
 	b.save(scheduler.SaveDone)
-	b.s.RecoverJobs(b.now, dead, open, []scheduler.Address{address(0)})
+	b.s.RecoverJobs(b.now, dead, open, []scheduler.Address{address(0)}, 0)
 	b.tick()
 	b.send(address(0), &wire.TaskReport{Inventory: true, Fenced: []string{string(dead)}})
 	if got := b.starts(); len(got) != 0 {
@@ -606,7 +606,7 @@
 	recover := func(t *testing.T) *testbed {
 		b := newTestbed(t, 2)
 		b.s.ApplyFences(map[ownership.Incarnation]ownership.Incarnation{dead: self})
-		b.s.RecoverJobs(b.now, dead, []scheduler.OpenJob{{ID: "j", Revision: 3, Record: record, PreviousOwners: 1}}, []scheduler.Address{address(0), address(1)})
+		b.s.RecoverJobs(b.now, dead, []scheduler.OpenJob{{ID: "j", Revision: 3, Record: record, PreviousOwners: 1}}, []scheduler.Address{address(0), address(1)}, 0)
 		b.tick()
 		b.send(address(0), &wire.TaskReport{Inventory: true, Fenced: []string{string(dead)}, Events: []*wire.TaskEvent{
 			event(run(0), wire.TaskEvent_STATE_DONE), event(run(1), wire.TaskEvent_STATE_RUNNING),
@@ -642,6 +642,33 @@
 	})
 }
 
+// Guards against a takeover that overlooks a sidecar whose registration cannot be
+// read, and against one that waits for it for ever.
+func TestTakeoverAwaitsUnreadableSidecars(t *testing.T) {
+	const dead = ownership.Incarnation("entry-z")
+	record := &wire.StoredJob{
+		Owner: string(dead), Service: "s", MaxFailures: 4, ObjectiveMs: 220, AcceptedAtMs: 1_000_000,
+		Steps: []*wire.StoredStep{{Count: 1, Cpu: 6000, MemoryMb: 10, EstimatedMs: 100}},
+	}
+	b := newTestbed(t, 1)
+	b.s.ApplyFences(map[ownership.Incarnation]ownership.Incarnation{dead: self})
+	b.s.RecoverJobs(b.now, dead, []scheduler.OpenJob{{ID: "j", Revision: 3, Record: record, PreviousOwners: 1}}, []scheduler.Address{address(0)}, 1)
+	b.tick()
+	from, bound := b.now, settings.StoreContactTimeout+settings.GrantDuration
+	b.send(address(0), &wire.TaskReport{Inventory: true, Fenced: []string{string(dead)}})
+	for len(b.starts()) == 0 {
+		if b.now > from+bound+500 {
+			t.Fatalf("no start within %d ms", b.now-from)
+		}
+		b.now += 100
+		b.s.RecordStoreContact(b.now)
+		b.report(address(0))
+	}
+	if waited := b.now - from; waited < bound {
+		t.Errorf("started after %d ms, while the sidecar that cannot be read may run the task, want %d ms", waited, bound)
+	}
+}
+
 // Entries whose lease expired during a store outage register again within two
 // seconds. Only an entry that is still missing afterwards and owns open jobs is
 // deposed.
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -22,6 +22,9 @@
 	// they fenced the deposed entry.
 	awaitingInventory map[Address]bool
 	fenced            map[Address]bool
+	// awaitsSilence is true if a sidecar with an unknown address may run tasks. Its
+	// inventory cannot be attributed to it, so the takeover lasts until silentUntil.
+	awaitsSilence bool
 	// silentUntil is when a silent sidecar can no longer run anything for the
 	// deposed entry.
 	silentUntil clock.Millis
@@ -54,12 +57,14 @@
 }
 
 // RecoverJobs begins the takeover of the jobs of an entry that this one has
-// deposed, as read from the store; sidecars are those that may run their tasks.
-func (s *Scheduler) RecoverJobs(now clock.Millis, deposed ownership.Incarnation, jobs []OpenJob, sidecars []Address) {
+// deposed, as read from the store. sidecars are those that may run their tasks,
+// unreadable is the number of further ones with unknown addresses.
+func (s *Scheduler) RecoverJobs(now clock.Millis, deposed ownership.Incarnation, jobs []OpenJob, sidecars []Address, unreadable int) {
 	s.counters.Takeovers++
 	t := &takeover{
 		deposed: deposed, awaitingInventory: make(map[Address]bool), fenced: make(map[Address]bool),
-		begunAt: now, silentUntil: now + s.settings.StoreContactTimeout + s.settings.GrantDuration,
+		awaitsSilence: unreadable > 0,
+		begunAt:       now, silentUntil: now + s.settings.StoreContactTimeout + s.settings.GrantDuration,
 	}
 	for _, a := range sidecars {
 		t.awaitingInventory[a] = true
@@ -138,7 +143,7 @@
 // runs or can run nothing any more.
 func (s *Scheduler) completeTakeovers(now clock.Millis) {
 	s.takeovers = slices.DeleteFunc(s.takeovers, func(t *takeover) bool {
-		if len(t.awaitingInventory) > 0 && now < t.silentUntil {
+		if (t.awaitsSilence || len(t.awaitingInventory) > 0) && now < t.silentUntil {
 			return false
 		}
 		for _, id := range t.jobs {
