jobstore: List open jobs beside a malformed record

ListOpen failed for the whole list if one record of an open job could not be decoded. Scans of owners then found no missing entry, and takeovers that had begun were repeated without end ("takeover waits for the store"), so the jobs of a lost entry never continued.

Each record is decoded by itself now. Malformed ones are returned beside the jobs, and an entry logs each of them once per value with its key. Their jobs stay open, because nothing is known about their tasks.

--- a/internal/entrynode/members.go
+++ b/internal/entrynode/members.go
@@ -93,7 +93,7 @@
 }
 
 func (p *Process) scanOwners(ctx context.Context) {
-	jobs, err := jobstore.ListOpen(ctx, p.deps.Store, p.settings.Keys)
+	jobs, err := p.listOpenJobs(ctx)
 	if err != nil {
 		p.deps.Log.Info("listing open jobs failed", zap.Error(err))
 		return
@@ -109,6 +109,18 @@
 	p.push(func(now clock.Millis) { p.core.HandleOpenJobOwners(now, owners) })
 }
 
+// listOpenJobs lists the open jobs and logs each unreadable record once.
+func (p *Process) listOpenJobs(ctx context.Context) ([]scheduler.OpenJob, error) {
+	open, err := jobstore.ListOpen(ctx, p.deps.Store, p.settings.Keys)
+	if err != nil {
+		return nil, err
+	}
+	for _, v := range p.unreadableJobs.Update(open.Unreadable) {
+		p.deps.Log.Warn("open job not readable", zap.Error(v.Err))
+	}
+	return open.Jobs, nil
+}
+
 // depose takes over the jobs of an entry that is missing: it marks the entry as
 // deposed, after which no write of it takes effect in the store, and then reads
 // its open jobs and the sidecars that may run their tasks.
@@ -138,7 +150,7 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	jobs, err := jobstore.ListOpen(p.ctx, p.deps.Store, p.settings.Keys)
+	jobs, err := p.listOpenJobs(p.ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -135,21 +135,30 @@
 	}, nil
 }
 
-// ListOpen returns all open jobs. Errors are of kind Unavailable or Malformed.
-func ListOpen(ctx context.Context, store platform.Store, keys Keys) ([]scheduler.OpenJob, error) {
+// OpenListing holds the records of open jobs.
+type OpenListing struct {
+	Jobs []scheduler.OpenJob
+	// Unreadable holds the records that are malformed. Their jobs stay open.
+	Unreadable []platform.UnreadableValue
+}
+
+// ListOpen returns all open jobs. A malformed record, which another writer may have
+// left, does not hide the others. Errors are of kind Unavailable.
+func ListOpen(ctx context.Context, store platform.Store, keys Keys) (OpenListing, error) {
 	listing, err := store.Range(ctx, platform.Prefix(keys.OpenPrefix()), 0)
 	if err != nil {
-		return nil, &Error{Op: "list open jobs", Kind: Unavailable, Err: err}
+		return OpenListing{}, &Error{Op: "list open jobs", Kind: Unavailable, Err: err}
 	}
-	jobs := make([]scheduler.OpenJob, 0, len(listing.KeyValues))
+	open := OpenListing{Jobs: make([]scheduler.OpenJob, 0, len(listing.KeyValues))}
 	for _, kv := range listing.KeyValues {
-		open, err := decodeOpen(keys, kv)
+		job, err := decodeOpen(keys, kv)
 		if err != nil {
-			return nil, err
+			open.Unreadable = append(open.Unreadable, platform.UnreadableValue{KeyValue: kv, Err: err})
+			continue
 		}
-		jobs = append(jobs, *open)
+		open.Jobs = append(open.Jobs, *job)
 	}
-	return jobs, nil
+	return open, nil
 }
 
 // Cancel ends an open job, possibly of another entry, with the record end. The error
--- a/internal/jobstore/jobstore_test.go
+++ b/internal/jobstore/jobstore_test.go
@@ -250,8 +250,8 @@
 		t.Fatal("onDeposed was not called")
 	}
 	open, err := jobstore.ListOpen(context.Background(), store, keys)
-	if err != nil || len(open) != 0 {
-		t.Errorf("open jobs: got %d, %v, want none", len(open), err)
+	if err != nil || len(open.Jobs)+len(open.Unreadable) != 0 {
+		t.Errorf("open jobs: got %v, %v, want none", open, err)
 	}
 }
 
