jobstore: Reject open records with values out of range

A record of an open job that another writer left took down each entry that took the job over, because the scheduler uses its numbers unchecked: it allocates every task of a step, 4e9 of them for a count of 4e9, and a dependency on a step that does not exist is an index out of range. A trial with a record whose only step depends on step 7 ended with "panic: runtime error: index out of range [7] with length 1" in job.stepReady, and the next entry would end at the same record. A record without an owner started a takeover of an entry without a name.

ListOpen now applies the bounds of submitted jobs (batch.MaxTasks, no negative resource, dependencies on earlier steps only) and requires an owner with the form of an incarnation. Other records are listed as unreadable. ReadState does not check them, so that a caller can still cancel such a job.

TestRecordWithValueOutOfRangeIsMalformed failed before in all 16 cases with "got 1 jobs, 0 unreadable, <nil>, want one unreadable".

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -17,6 +17,9 @@
 	Route string
 )
 
+// MaxTasks bounds the tasks of a job, which an entry holds in memory one by one.
+const MaxTasks = 100_000
+
 // TaskID identifies a task of a job.
 type TaskID struct {
 	Job        JobID
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -12,6 +12,7 @@
 	"context"
 	"strings"
 
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
@@ -142,6 +143,34 @@
 	Unreadable []platform.UnreadableValue
 }
 
+// checkRecord checks the values that an entry relies on when it takes a job over:
+// the scheduler allocates each task and uses the dependencies as indexes.
+func checkRecord(keys Keys, job *scheduler.OpenJob) error {
+	r := job.Record
+	malformed := func(format string, args ...any) error {
+		return &Error{Op: "check open job", Kind: Malformed, Key: keys.open(job.ID), Err: errors.Errorf(format, args...)}
+	}
+	tasks := 0
+	for i, step := range r.GetSteps() {
+		for _, dependency := range step.GetAfter() {
+			if int(dependency) >= i {
+				return malformed("step %d depends on step %d, which is not an earlier step", i, dependency)
+			}
+		}
+		tasks += int(step.GetCount())
+		if step.GetCount() < 1 || tasks > batch.MaxTasks || min(step.GetCpu(), step.GetMemoryMb(), step.GetAccelerators(), step.GetEstimatedMs()) < 0 {
+			return malformed("step %d has a value out of range, or the job has too many tasks", i)
+		}
+	}
+	if tasks == 0 || len(r.GetTasks()) > tasks || min(r.GetObjectiveMs(), r.GetAcceptedAtMs()) < 0 {
+		return malformed("%d tasks with the progress of %d, or a negative time", tasks, len(r.GetTasks()))
+	}
+	if owner := ownership.Incarnation(r.GetOwner()); !owner.IsWellFormed() {
+		return malformed("the owner %.100q is not an incarnation", owner)
+	}
+	return nil
+}
+
 // ListOpen returns all open jobs. A malformed record, which another writer may have
 // left, does not hide the others. Errors are of kind Unavailable.
 func ListOpen(ctx context.Context, store platform.Store, keys Keys) (OpenListing, error) {
@@ -152,6 +181,9 @@
 	open := OpenListing{Jobs: make([]scheduler.OpenJob, 0, len(listing.KeyValues))}
 	for _, kv := range listing.KeyValues {
 		job, err := decodeOpen(keys, kv)
+		if err == nil {
+			err = checkRecord(keys, job)
+		}
 		if err != nil {
 			open.Unreadable = append(open.Unreadable, platform.UnreadableValue{KeyValue: kv, Err: err})
 			continue
--- a/internal/jobstore/oddvalue_test.go
+++ b/internal/jobstore/oddvalue_test.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/teaseltide/teaseltide/internal/batch"
 	"github.com/teaseltide/teaseltide/internal/jobstore"
 	"github.com/teaseltide/teaseltide/internal/platform"
 	"github.com/teaseltide/teaseltide/internal/wire"
@@ -58,3 +59,38 @@
 		Steps: []*wire.StoredStep{{Count: 1, Cpu: 1}, {Count: 2, After: []uint32{0}}},
 	}
 }
+
+// Guards against an odd record that takes its next entry down: a step of
+// 4e9 tasks allocates without bound, and a dependency on a missing step is an index
+// out of range.
+func TestRecordWithValueOutOfRangeIsMalformed(t *testing.T) {
+	for fault, change := range map[string]func(*wire.StoredJob){
+		"count too large":          func(r *wire.StoredJob) { r.Steps[0].Count = 4_000_000_000 },
+		"counts too large in all":  func(r *wire.StoredJob) { r.Steps[0].Count, r.Steps[1].Count = batch.MaxTasks, batch.MaxTasks },
+		"no tasks":                 func(r *wire.StoredJob) { r.Steps[0].Count = 0 },
+		"no steps":                 func(r *wire.StoredJob) { r.Steps = nil },
+		"missing dependency":       func(r *wire.StoredJob) { r.Steps[1].After = []uint32{2} },
+		"dependency on itself":     func(r *wire.StoredJob) { r.Steps[1].After = []uint32{1} },
+		"huge dependency":          func(r *wire.StoredJob) { r.Steps[1].After = []uint32{4_294_967_295} },
+		"negative processor":       func(r *wire.StoredJob) { r.Steps[0].Cpu = -1 },
+		"negative memory":          func(r *wire.StoredJob) { r.Steps[0].MemoryMb = -1 },
+		"negative accelerators":    func(r *wire.StoredJob) { r.Steps[0].Accelerators = -1 },
+		"negative run time":        func(r *wire.StoredJob) { r.Steps[0].EstimatedMs = -1 },
+		"negative objective":       func(r *wire.StoredJob) { r.ObjectiveMs = -1 },
+		"negative acceptance":      func(r *wire.StoredJob) { r.AcceptedAtMs = -1 },
+		"more progress than tasks": func(r *wire.StoredJob) { r.Tasks = make([]*wire.StoredTask, 4) },
+		"no owner":                 func(r *wire.StoredJob) { r.Owner = "" },
+		"owner that is no process": func(r *wire.StoredJob) { r.Owner = "a" },
+	} {
+		t.Run(fault, func(t *testing.T) {
+			record := goodRecord()
+			change(record)
+			m := newMemoryStore()
+			put(m, "t/open/odd", encode(t, record))
+			open, err := jobstore.ListOpen(context.Background(), m, keys)
+			if err != nil || len(open.Jobs) != 0 || len(open.Unreadable) != 1 {
+				t.Errorf("got %d jobs, %d unreadable, %v, want one unreadable", len(open.Jobs), len(open.Unreadable), err)
+			}
+		})
+	}
+}
