jobstore: Ignore marks of deposed entries that name no successor

An entry sends the marks of deposed entries to all sidecars. A mark with invalid UTF-8 in its key or value, left by another writer, cannot be encoded, so each session ended when it was to be sent, and again after each reconnection.

A mark must now name two entries by the form of an incarnation. Others are logged with their key, once per value in entries and once per start in sidecars, and are not sent. An entry still considers itself deposed by any mark under its own key, because the transactions of its Committer require that there is none.

TestOddMarksAreNotSent fails with the check of DecodeDeposed disabled, which is the old decoding: "got 11 marks, 0 unreadable, want 1 and 10" and "mark "\xff\xfe": got error string field contains invalid UTF-8".

--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -119,8 +119,9 @@
 	// callerFoundGone is true if a caller was found to have left in this turn of the
 	// control thread.
 	callerFoundGone bool
-	// unreadableJobs holds the records of open jobs that were logged as unreadable.
-	unreadableJobs platform.UnreadableValues
+	// unreadableJobs and unreadableMarks hold the records of open jobs and the marks
+	// of deposed entries that were logged as unreadable.
+	unreadableJobs, unreadableMarks platform.UnreadableValues
 	// ownerScans requests a scan of the owners of open jobs.
 	ownerScans chan struct{}
 	// quiesced is closed when callers send no more requests in a planned stop.
--- a/internal/entrynode/members.go
+++ b/internal/entrynode/members.go
@@ -25,7 +25,7 @@
 	go p.deps.Directory.WatchEntries(ctx, p.handleEntries)
 	go p.deps.Directory.WatchSidecars(ctx, p.handleSidecars)
 	go p.deps.Directory.WatchScope(ctx, platform.Prefix(p.settings.Keys.DeposedPrefix()), func(kvs []platform.KeyValue, _ platform.Revision) error {
-		p.handleFences(p.settings.Keys.DecodeDeposed(kvs))
+		p.handleFences(kvs)
 		return nil
 	})
 	go p.watchOwners(ctx)
@@ -69,11 +69,15 @@
 	p.sidecars.Set(targets)
 }
 
-func (p *Process) handleFences(fences map[ownership.Incarnation]ownership.Incarnation) {
-	if _, ok := fences[p.settings.Incarnation]; ok {
+func (p *Process) handleFences(kvs []platform.KeyValue) {
+	if p.settings.Keys.IsDeposed(kvs, p.settings.Incarnation) {
 		p.deposed.Store(true)
 		return
 	}
+	fences, unreadable := p.settings.Keys.DecodeDeposed(kvs)
+	for _, v := range p.unreadableMarks.Update(unreadable) {
+		p.deps.Log.Warn("mark of a deposed entry not readable", zap.Error(v.Err))
+	}
 	p.push(func(clock.Millis) { p.core.ApplyFences(fences) })
 }
 
@@ -162,7 +166,7 @@
 	for _, r := range sidecars.Registrations {
 		addresses = append(addresses, scheduler.Address(r.Address))
 	}
-	fences := p.settings.Keys.DecodeDeposed(deposed.KeyValues)
+	fences, _ := p.settings.Keys.DecodeDeposed(deposed.KeyValues)
 	p.push(func(now clock.Millis) {
 		p.core.ApplyFences(fences)
 		p.core.RecoverJobs(now, entry, p.takenOverJobs(jobs), addresses, len(sidecars.Unreadable))
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -40,13 +41,26 @@
 func (k Keys) deposed(id ownership.Incarnation) string { return k.DeposedPrefix() + string(id) }
 
 // DecodeDeposed decodes the marks of deposed entries into a map from each deposed
-// entry to its successor.
-func (k Keys) DecodeDeposed(kvs []platform.KeyValue) map[ownership.Incarnation]ownership.Incarnation {
-	out := make(map[ownership.Incarnation]ownership.Incarnation, len(kvs))
+// entry to its successor. Marks that another writer left and that do not name two
+// entries are returned separately; they are not sent to other processes.
+func (k Keys) DecodeDeposed(kvs []platform.KeyValue) (successors map[ownership.Incarnation]ownership.Incarnation, unreadable []platform.UnreadableValue) {
+	successors = make(map[ownership.Incarnation]ownership.Incarnation, len(kvs))
 	for _, kv := range kvs {
-		out[ownership.Incarnation(strings.TrimPrefix(kv.Key, k.DeposedPrefix()))] = ownership.Incarnation(kv.Value)
+		deposed, successor := ownership.Incarnation(strings.TrimPrefix(kv.Key, k.DeposedPrefix())), ownership.Incarnation(kv.Value)
+		if !deposed.IsWellFormed() || !successor.IsWellFormed() {
+			err := &Error{Op: "read deposed entry", Kind: Malformed, Key: kv.Key, Err: errors.Errorf("%.100q does not name a successor", successor)}
+			unreadable = append(unreadable, platform.UnreadableValue{KeyValue: kv, Err: err})
+			continue
+		}
+		successors[deposed] = successor
 	}
-	return out
+	return successors, unreadable
+}
+
+// IsDeposed reports whether there is a mark of an entry, whatever its value is: any
+// mark makes the writes of the entry's Committer fail.
+func (k Keys) IsDeposed(kvs []platform.KeyValue, entry ownership.Incarnation) bool {
+	return slices.ContainsFunc(kvs, func(kv platform.KeyValue) bool { return kv.Key == k.deposed(entry) })
 }
 
 // Error is the error type of this package. Op is the operation that failed, Key the
--- a/internal/jobstore/oddvalue_test.go
+++ b/internal/jobstore/oddvalue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -94,3 +95,26 @@
 		})
 	}
 }
+
+// Guards against a mark of another writer that breaks each session on which it is
+// sent: a frame with invalid UTF-8 cannot be encoded.
+func TestOddMarksAreNotSent(t *testing.T) {
+	kvs := []platform.KeyValue{{Key: "t/deposed/entry-b", Value: []byte(self)}}
+	for i, odd := range []string{"\xff\xfe", "", "[", "a", strings.Repeat("x", 1<<20) + "-1"} {
+		kvs = append(kvs,
+			platform.KeyValue{Key: fmt.Sprint("t/deposed/odd-", i), Value: []byte(odd)},
+			platform.KeyValue{Key: "t/deposed/" + odd, Value: []byte(self)})
+	}
+	successors, unreadable := keys.DecodeDeposed(kvs)
+	if len(successors) != 1 || successors["entry-b"] != self || len(unreadable) != len(kvs)-1 {
+		t.Errorf("got %d marks, %d unreadable, want 1 and %d", len(successors), len(unreadable), len(kvs)-1)
+	}
+	for deposed, successor := range successors {
+		if _, err := proto.Marshal(&wire.FenceEntry{Deposed: string(deposed), Successor: string(successor)}); err != nil {
+			t.Errorf("mark %.20q: got error %v, want it to be encoded", deposed, err)
+		}
+	}
+	if !keys.IsDeposed(kvs, "odd-0") || keys.IsDeposed(kvs, self) {
+		t.Errorf("entry with an odd mark, entry without one: got deposed %v, %v, want true, false", keys.IsDeposed(kvs, "odd-0"), keys.IsDeposed(kvs, self))
+	}
+}
--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -367,7 +367,10 @@
 		if err != nil {
 			return err
 		}
-		fences := p.settings.Keys.DecodeDeposed(listing.KeyValues)
+		fences, unreadable := p.settings.Keys.DecodeDeposed(listing.KeyValues)
+		for _, v := range unreadable {
+			p.deps.Log.Warn("mark of a deposed entry not readable", zap.Error(v.Err))
+		}
 		p.push(func(now clock.Millis) { p.core.FencesLoaded(now, fences) })
 		return nil
 	})
