executor: Return to the worker that contradicts a report

A report with a `born` in the far future, sent by another writer, made the sidecar replace its worker. All later listings and reports of the real worker then counted as delayed ones of an earlier incarnation, so the sidecar started nothing until it was restarted. The same happened if the worker started again after its clock had been set back.

A report reaches the sidecar from any writer, but a listing is answered by the worker itself. A listing with a lower incarnation that was requested after the present one became known therefore replaces the worker like a new incarnation, with a higher token, and further reports of the contradicted incarnation are ignored until a listing shows it. A listing that was requested before may be a delayed answer of the previous worker and is ignored as before.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -215,6 +215,14 @@
 	worker Worker
 	// restoredWorker is the description that an earlier sidecar stored.
 	restoredWorker Worker
+	// displacedWorker is the worker before the last report of another incarnation.
+	displacedWorker Worker
+	// workerSince is when the incarnation of worker became known. A listing that was
+	// requested later comes from the present worker, whatever its incarnation.
+	workerSince clock.Millis
+	// disprovedIncarnation was reported, but a later listing showed a lower one;
+	// further reports of it are ignored.
+	disprovedIncarnation int64
 	// runsListed is true after the worker has listed its runs under this sidecar's
 	// token; nothing is started before then.
 	runsListed bool
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -125,11 +125,17 @@
 // WorkerReported handles the worker's report about itself.
 func (x *Executor) WorkerReported(now clock.Millis, w Worker) {
 	// A delayed report may arrive after one of a later incarnation.
-	if w.Incarnation < x.worker.Incarnation || w.Incarnation == x.worker.Incarnation && w.ID == x.worker.ID && w.Sequence <= x.worker.Sequence {
+	if w.Incarnation < x.worker.Incarnation || w.Incarnation != 0 && w.Incarnation == x.disprovedIncarnation {
+		return
+	}
+	if w.Incarnation == x.worker.Incarnation && w.ID == x.worker.ID && w.Sequence <= x.worker.Sequence {
 		return
 	}
 	if x.worker.Incarnation != 0 && w.Incarnation != x.worker.Incarnation || x.worker.ID != "" && w.ID != x.worker.ID {
-		x.replaceWorker(w)
+		x.displacedWorker = x.worker
+		x.replaceWorker(now, w)
+	} else if w.Incarnation != x.worker.Incarnation {
+		x.workerSince = now
 	}
 	if !slices.Equal(w.Labels, x.worker.Labels) || w.Capacity != x.worker.Capacity || w.Draining != x.worker.Draining || w.ID != x.worker.ID {
 		x.loadVersion++
@@ -156,7 +162,7 @@
 // replaceWorker handles a new incarnation of the worker. Active runs are kept until
 // the next listing shows which are lost, since some may have been started on the
 // new incarnation.
-func (x *Executor) replaceWorker(w Worker) {
+func (x *Executor) replaceWorker(now clock.Millis, w Worker) {
 	for id, r := range x.runs {
 		if r.phase == ended {
 			delete(x.runs, id)
@@ -174,7 +180,11 @@
 		x.replaced = true
 		x.commands = append(x.commands, ListNow{})
 	}
+	if w.Incarnation == x.disprovedIncarnation {
+		x.disprovedIncarnation = 0
+	}
 	x.worker = w
+	x.workerSince = now
 	x.loadVersion++
 	x.commands = append(x.commands, WorkerReplaced{Worker: w, Runs: x.ActiveRuns()})
 }
@@ -251,6 +261,33 @@
 	}
 }
 
+// followListedWorker replaces the worker if a listing shows another incarnation. It
+// returns false for a listing that an earlier incarnation may have answered.
+func (x *Executor) followListedWorker(now clock.Millis, l Listing) bool {
+	if l.Incarnation == 0 || l.Incarnation == x.worker.Incarnation {
+		return true
+	}
+	if l.Incarnation < x.worker.Incarnation {
+		if l.RequestedAt <= x.workerSince {
+			return false
+		}
+		// The worker contradicts the report of the higher incarnation, which another
+		// writer may have sent.
+		x.disprovedIncarnation = x.worker.Incarnation
+	}
+	// The capacity is unknown until the report of the new incarnation.
+	replacement := Worker{Incarnation: l.Incarnation}
+	if x.restoredWorker.Incarnation == l.Incarnation {
+		replacement = x.restoredWorker
+	}
+	if x.displacedWorker.Incarnation == l.Incarnation {
+		replacement = x.displacedWorker
+		x.commands = append(x.commands, PersistWorker{Worker: replacement})
+	}
+	x.replaceWorker(now, replacement)
+	return true
+}
+
 // RunsListed handles a listing. It resolves an unanswered start only if it was
 // requested under a higher token than the start.
 func (x *Executor) RunsListed(now clock.Millis, l Listing) {
@@ -259,16 +296,8 @@
 		return
 	}
 	x.lastListRequestedAt = l.RequestedAt
-	if l.Incarnation != 0 && l.Incarnation != x.worker.Incarnation {
-		if l.Incarnation < x.worker.Incarnation {
-			return
-		}
-		// The capacity is unknown until the report of the new incarnation.
-		replacement := Worker{Incarnation: l.Incarnation}
-		if x.restoredWorker.Incarnation == l.Incarnation {
-			replacement = x.restoredWorker
-		}
-		x.replaceWorker(replacement)
+	if !x.followListedWorker(now, l) {
+		return
 	}
 	present := make(map[batch.TaskID]bool, len(l.Running)+len(l.Ended))
 	for _, lr := range l.Running {
