jobstore: Replace a mark that names no successor

If another writer had left a mark of a deposed entry that names no successor, no entry took over its open jobs: Depose found a mark that was not its own and returned AlreadyDeposed, again and again, and the entry itself could not write any more either.

Depose now replaces such a mark, under the conditions that the entry is not registered and the mark is unchanged, so that only one of several successors writes it.

TestDeposeReplacesAnOddMark failed before: mark "\xff": got error jobstore: depose: taken: t/deposed/entry-b, want none.

--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -229,26 +229,41 @@
 }
 
 // Depose marks an entry as deposed by successor unless the key registration exists,
-// which gives an error of kind StillRegistered. After an error of kind Unavailable
-// it can be repeated, with the same effect as one call.
+// which gives an error of kind StillRegistered. A mark that names no successor is
+// replaced, because nobody would take over the entry's jobs. After an error of kind
+// Unavailable it can be repeated, with the same effect as one call.
 func Depose(ctx context.Context, store platform.Transactor, keys Keys, entry, successor ownership.Incarnation, registration string) error {
-	result, err := store.Txn(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: registration}, {Key: keys.deposed(entry)}},
-		Puts:       []platform.Put{{Key: keys.deposed(entry), Value: []byte(successor)}},
-	})
+	mark, err := writeMark(ctx, store, keys, entry, successor, registration, 0)
+	if err == nil && mark.ModRevision != 0 && !ownership.Incarnation(mark.Value).IsWellFormed() {
+		mark, err = writeMark(ctx, store, keys, entry, successor, registration, mark.ModRevision)
+	}
 	switch {
 	case err != nil:
 		return &Error{Op: "depose", Kind: Unavailable, Key: keys.deposed(entry), Err: err}
-	case result.Succeeded:
+	case string(mark.Value) == string(successor):
 		return nil
+	case mark.ModRevision != 0:
+		return &Error{Op: "depose", Kind: AlreadyDeposed, Key: mark.Key}
+	}
+	return &Error{Op: "depose", Kind: StillRegistered, Key: registration}
+}
+
+// writeMark writes the mark of a deposed entry if the entry is not registered and
+// the mark is at revision expected, 0 for none. It returns the present mark.
+func writeMark(ctx context.Context, store platform.Transactor, keys Keys, entry, successor ownership.Incarnation, registration string, expected platform.Revision) (platform.KeyValue, error) {
+	mark := platform.KeyValue{Key: keys.deposed(entry), Value: []byte(successor)}
+	result, err := store.Txn(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: registration}, {Key: mark.Key, Revision: expected}},
+		Puts:       []platform.Put{{Key: mark.Key, Value: mark.Value}},
+	})
+	if err != nil || result.Succeeded {
+		mark.ModRevision = result.Revision
+		return mark, err
 	}
 	for _, kv := range result.Current {
-		if kv.Key == keys.deposed(entry) && kv.ModRevision != 0 {
-			if string(kv.Value) == string(successor) {
-				return nil
-			}
-			return &Error{Op: "depose", Kind: AlreadyDeposed, Key: kv.Key}
+		if kv.Key == mark.Key {
+			return kv, nil
 		}
 	}
-	return &Error{Op: "depose", Kind: StillRegistered, Key: registration}
+	return platform.KeyValue{}, nil
 }
--- a/internal/jobstore/oddvalue_test.go
+++ b/internal/jobstore/oddvalue_test.go
@@ -118,3 +118,26 @@
 		t.Errorf("entry with an odd mark, entry without one: got deposed %v, %v, want true, false", keys.IsDeposed(kvs, "odd-0"), keys.IsDeposed(kvs, self))
 	}
 }
+
+// Guards against jobs that nobody continues: the mark of their entry names no
+// successor, so each deposition found the entry deposed already.
+func TestDeposeReplacesAnOddMark(t *testing.T) {
+	for _, odd := range []string{"", "\xff", "[", strings.Repeat("x", 10_000)} {
+		m := newMemoryStore()
+		put(m, "t/deposed/entry-b", []byte(odd))
+		put(m, "t/entries/entry-b", nil)
+		depose := func() error {
+			return jobstore.Depose(context.Background(), m, keys, "entry-b", self, "t/entries/entry-b")
+		}
+		if err := depose(); err == nil {
+			t.Errorf("mark %.20q of a registered entry: got no error, want one", odd)
+		}
+		delete(m.items, "t/entries/entry-b")
+		if err := depose(); err != nil {
+			t.Errorf("mark %.20q: got error %v, want none", odd, err)
+		}
+		if got := string(m.items["t/deposed/entry-b"].Value); got != string(self) {
+			t.Errorf("mark %.20q after the deposition: got %.20q, want %s", odd, got, self)
+		}
+	}
+}
