executor: Use reports again after a sequence the worker never reaches

A report of another writer under the worker's id and incarnation with a huge `sequence` made the sidecar ignore all later reports of the worker as delayed ones. It kept the other writer's capacity and never learned that the worker drains.

A report with a lower sequence is now used if none with a higher one arrived for 8 s. A worker reports every 1.5 s, so a single delayed report still does not replace a later one.

TestSequenceOfAnotherWriter fails without the change: "start above the worker's capacity: got it accepted, want it refused".

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -220,6 +220,8 @@
 	// workerSince is when the incarnation of worker became known. A listing that was
 	// requested later comes from the present worker, whatever its incarnation.
 	workerSince clock.Millis
+	// reportedAt is when the last report was used.
+	reportedAt clock.Millis
 	// disprovedIncarnation was reported, but a later listing showed a lower one;
 	// further reports of it are ignored.
 	disprovedIncarnation int64
--- a/internal/executor/oddreport_test.go
+++ b/internal/executor/oddreport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"testing"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
@@ -95,3 +96,32 @@
 		})
 	}
 }
+
+// Guards against a sidecar that never learns of its worker's present capacity:
+// another writer sent a report under the worker's id with a sequence that the
+// worker never reaches. A single delayed report must still not be used.
+func TestSequenceOfAnotherWriter(t *testing.T) {
+	h := newHarness(t)
+	h.x.WorkerReported(h.now, executor.Worker{
+		ID: "w", Incarnation: 1, Sequence: math.MaxInt64, Service: "s", Capacity: batch.Resources{CPU: 90_000, MemoryMB: 1000},
+	})
+	accepts := func() bool {
+		id := runID(strconv.Itoa(int(h.now)))
+		h.x.OrdersReceived(h.now, entryA, h.orders(start(id, 30_000, true)))
+		h.tick()
+		return h.states(entryA)[id] != wire.TaskEvent_STATE_NOT_STARTED
+	}
+	h.advance(100)
+	h.report(1, 20_000)
+	if !accepts() {
+		t.Error("start that fits the last report: got it refused after a delayed report, want it accepted")
+	}
+	for range 6 {
+		h.advance(1500)
+		h.report(1, 20_000)
+	}
+	h.list(h.x.ListRequest(h.now).Token, 1, nil, nil)
+	if accepts() {
+		t.Error("start above the worker's capacity: got it accepted, want it refused")
+	}
+}
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -122,15 +122,22 @@
 	return until
 }
 
+// reportSilence is the time without a report with a higher sequence after which
+// one with a lower sequence is used. Workers report every 1.5 s, so the higher
+// sequence was not the worker's.
+const reportSilence = 8 * clock.Second
+
 // WorkerReported handles the worker's report about itself.
 func (x *Executor) WorkerReported(now clock.Millis, w Worker) {
 	// A delayed report may arrive after one of a later incarnation.
 	if w.Incarnation < x.worker.Incarnation || w.Incarnation != 0 && w.Incarnation == x.disprovedIncarnation {
 		return
 	}
-	if w.Incarnation == x.worker.Incarnation && w.ID == x.worker.ID && w.Sequence <= x.worker.Sequence {
+	isDelayed := w.Incarnation == x.worker.Incarnation && w.ID == x.worker.ID && w.Sequence <= x.worker.Sequence
+	if isDelayed && now-x.reportedAt < reportSilence {
 		return
 	}
+	x.reportedAt = now
 	if x.worker.Incarnation != 0 && w.Incarnation != x.worker.Incarnation || x.worker.ID != "" && w.ID != x.worker.ID {
 		x.displacedWorker = x.worker
 		x.replaceWorker(now, w)
@@ -185,6 +192,7 @@
 	}
 	x.worker = w
 	x.workerSince = now
+	x.reportedAt = now
 	x.loadVersion++
 	x.commands = append(x.commands, WorkerReplaced{Worker: w, Runs: x.ActiveRuns()})
 }
