sidecarnode: Ignore a stored worker description out of range

A sidecar that starts anew uses the record workers/ADDRESS until the worker's next report. It was decoded but not checked, so a record of another writer with the worker's `born` made the sidecar offer a negative or absurd capacity, or call the worker with an id that is no valid header.

executor.DecodeWorker now checks the record like a report (Worker.IsValid, which the reports use as well), and a sidecar logs the key of one that it ignores.

TestDecodeWorker fails with decoding alone, which is the old behaviour, in six cases, for example with "CPU":-1: got {ID:w ... Capacity:{CPU:-1 ...}, want it rejected.

--- a/internal/executor/oddreport_test.go
+++ b/internal/executor/oddreport_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
@@ -125,3 +126,26 @@
 		t.Error("start above the worker's capacity: got it accepted, want it refused")
 	}
 }
+
+// Guards against a stored worker description of another writer that offers room the
+// worker does not have, or an id that no call can carry.
+func TestDecodeWorker(t *testing.T) {
+	const good = `{"id":"w","born":1,"service":"s","capacity":{"CPU":6000,"MemoryMB":10},"labels":["a"]}`
+	if w, ok := executor.DecodeWorker([]byte(good)); !ok || w.ID != "w" || w.Capacity.CPU != 6000 {
+		t.Errorf("own record: got %+v, %v, want it decoded", w, ok)
+	}
+	for _, odd := range []string{
+		"", "null", "[]", "\xff", `{"id":`, strings.Repeat("[", 20_000),
+		strings.Replace(good, `"w"`, `"w\n"`, 1),
+		strings.Replace(good, `"w"`, `"\u00e9"`, 1),
+		strings.Replace(good, `"w"`, `7`, 1),
+		strings.Replace(good, `6000`, `-1`, 1),
+		strings.Replace(good, `6000`, `9000000000000000000`, 1),
+		strings.Replace(good, `6000`, `1e999`, 1),
+		strings.Replace(good, `"born":1`, `"born":-1`, 1),
+	} {
+		if w, ok := executor.DecodeWorker([]byte(odd)); ok {
+			t.Errorf("record %.60q: got %+v, want it rejected", odd, w)
+		}
+	}
+}
--- a/internal/sidecarnode/remember.go
+++ b/internal/sidecarnode/remember.go
@@ -39,9 +39,9 @@
 			return err
 		}
 		revision = kv.ModRevision
-		var w executor.Worker
-		if err = json.Unmarshal(kv.Value, &w); err != nil {
-			p.deps.Log.Warn("worker record not decoded", zap.Error(err))
+		w, ok := executor.DecodeWorker(kv.Value)
+		if !ok {
+			p.deps.Log.Warn("worker record not readable", zap.String("key", kv.Key))
 			return nil
 		}
 		p.push(func(clock.Millis) { p.core.WorkerRestored(w) })
