jobstore: Take over jobs with a negative objective

An accepted job with a negative objective was listed as unreadable, so nobody would continue it after the loss of its entry. The objective is computed from slack_factor and target_latency_ms of the operators' configuration, which are not bounded, and the check of open records required that it is not negative.

The check no longer looks at times: the scheduler computes with them, but does not use them as sizes or indexes.

--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -158,7 +158,8 @@
 }
 
 // checkRecord checks the values that an entry relies on when it takes a job over:
-// the scheduler allocates each task and uses the dependencies as indexes.
+// the scheduler allocates each task and uses the dependencies as indexes. It must
+// accept all that an entry stores, or the job would never be taken over.
 func checkRecord(keys Keys, job *scheduler.OpenJob) error {
 	r := job.Record
 	malformed := func(format string, args ...any) error {
@@ -176,8 +177,8 @@
 			return malformed("step %d has a value out of range, or the job has too many tasks", i)
 		}
 	}
-	if tasks == 0 || len(r.GetTasks()) > tasks || min(r.GetObjectiveMs(), r.GetAcceptedAtMs()) < 0 {
-		return malformed("%d tasks with the progress of %d, or a negative time", tasks, len(r.GetTasks()))
+	if tasks == 0 || len(r.GetTasks()) > tasks {
+		return malformed("%d tasks with the progress of %d", tasks, len(r.GetTasks()))
 	}
 	if owner := ownership.Incarnation(r.GetOwner()); !owner.IsWellFormed() {
 		return malformed("the owner %.100q is not an incarnation", owner)
