scheduler: Give up a task under which two workers have crashed

Callers of a stored job whose task crashes its worker saw no end of the job, and operators would see one worker after the other leave its service for some seconds: an entry counted failed runs only, and started a task whose run was lost again without limit.

A sidecar now reports the runs that it had started on a worker as LOST with worker_crashed when a later incarnation of the worker appears. A worker that drained, timed out or whose lease had lapsed accuses no run, and neither does a sidecar that found the run at its own start. A run that was reported as lost before is reported again. The report is part of each inventory until the entry confirms it.

The entry counts crashes by attempt and ends the job as failed after the second one. The health of workers is not charged. For a stored job it writes the crash at once, and neither starts the task again nor confirms the report before the write is done. The record holds the attempts rather than their number, because a successor gets unconfirmed reports again and would count them twice. Jobs that wait for such a write are not in the queue, where they would use up the jobs that a tick examines. A best-effort job that is submitted again to the same entry keeps its crashes.

Before the change of the scheduler, with the reports of the sidecar in place, TestTaskThatCrashesWorkersIsGivenUp failed for both kinds of jobs:

crashes_test.go:73: starts: got 200, want 2 crashes_test.go:76: end of the job: got "", want "failed"

TestTaskWithUnstoredCrashDoesNotStart fails with "starts before the write has been answered: got 1, want 0" if the task does not wait, and TestUnstoredCrashesDoNotHoldUpOtherJobs with "starts: got [], want one" if the waiting job stays in the queue. Without the attribution, TestCrashIsReportedForItsRuns fails with "reports of crashes: got map[]". Each case of TestOtherEndsOfAWorkerAreNoCrash for a drained, timed out or lapsed worker fails without its condition.

--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -76,6 +76,7 @@
 	add(m.runs, "lost", c.Lost, l.Lost)
 	add(m.runs, "not-started", c.NotStarted, l.NotStarted)
 	add(m.runs, "stalled", c.Stalled, l.Stalled)
+	add(m.runs, "worker-crashed", c.Crashes, l.Crashes)
 	add(m.events, "takeover", c.Takeovers, l.Takeovers)
 	add(m.events, "ejection", c.Ejections, l.Ejections)
 	m.open.Set(float64(open))
--- /dev/null
+++ b/internal/executor/crashes.go
@@ -0,0 +1,49 @@
+package executor
+
+import (
+	"github.com/teaseltide/teaseltide/internal/batch"
+	"github.com/teaseltide/teaseltide/internal/ownership"
+	"github.com/teaseltide/teaseltide/internal/wire"
+	"github.com/teaseltide/teaseltide/pkg/clock"
+)
+
+// WorkerTimedOut handles listings that have timed out for some time. Unlike one that
+// refuses calls, such a worker may run on.
+func (x *Executor) WorkerTimedOut(now clock.Millis) {
+	x.timedOut = true
+	x.WorkerUnreachable(now)
+}
+
+// hasCrashed reports whether the worker has crashed if a new incarnation replaces it.
+// One that drained, was cut off or whose lease lapsed may have ended for that reason.
+func (x *Executor) hasCrashed() bool {
+	return x.worker.Incarnation != 0 && !x.worker.Draining && !x.draining && !x.timedOut && !x.leaseLapsed
+}
+
+// attributeCrash attributes the crash of the worker to the runs that this sidecar
+// started on it. Those that are still active are reported when a listing shows that
+// they are lost. Runs that were reported as lost before are reported again.
+func (x *Executor) attributeCrash(now clock.Millis) {
+	for _, r := range x.runs {
+		isActive := r.phase == starting || r.phase == unanswered || r.phase == running
+		if isActive && r.workerIncarnation == x.worker.Incarnation {
+			r.workerCrashed = true
+			r.crashedAt = now
+		}
+	}
+	for _, r := range x.lostRuns {
+		if r.workerIncarnation == x.worker.Incarnation {
+			r.workerCrashed = true
+			r.crashedAt = now
+			x.crashedRuns[r.id] = r
+			x.addEventToAll(r, wire.TaskEvent_STATE_LOST)
+		}
+	}
+}
+
+// confirmCrash handles an entry's confirmation that it has recorded the end of a run.
+func (x *Executor) confirmCrash(from ownership.Incarnation, id batch.RunID) {
+	if r := x.crashedRuns[id]; r != nil && x.mayOrder(from, r) {
+		delete(x.crashedRuns, id)
+	}
+}
--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -113,8 +113,10 @@
 		if r := x.findRun(batch.RunIDFromWire(id)); r != nil && r.phase == ended && x.mayOrder(from, r) {
 			r.acknowledgeable = true
 		}
+		x.confirmCrash(from, batch.RunIDFromWire(id))
 	}
 	for _, id := range o.GetReleases() {
+		x.confirmCrash(from, batch.RunIDFromWire(id))
 		x.handleRelease(now, from, batch.RunIDFromWire(id))
 	}
 }
@@ -287,11 +289,21 @@
 	if e == nil || !e.connected {
 		return
 	}
-	e.events = append(e.events, &wire.TaskEvent{Run: r.id.Wire(), State: state, RunMs: int64(r.runTime), BestEffort: r.bestEffort, HighestAttempt: int64(r.highestAttempt)})
+	event := r.event(state)
+	event.HighestAttempt = int64(r.highestAttempt)
+	e.events = append(e.events, event)
 	// The start of a best-effort run isn't urgent: nothing depends on it.
 	e.urgent = e.urgent || state != wire.TaskEvent_STATE_RUNNING || !r.bestEffort
 }
 
+// event returns an event of a run for a report.
+func (r *run) event(state wire.TaskEvent_State) *wire.TaskEvent {
+	return &wire.TaskEvent{
+		Run: r.id.Wire(), State: state, RunMs: int64(r.runTime), BestEffort: r.bestEffort,
+		WorkerCrashed: r.workerCrashed && state == wire.TaskEvent_STATE_LOST,
+	}
+}
+
 // Drain makes the sidecar return its queued tasks and reject new ones.
 func (x *Executor) Drain() {
 	x.draining = true
@@ -383,7 +395,12 @@
 		case ended:
 			state = endState(r)
 		}
-		events = append(events, &wire.TaskEvent{Run: r.id.Wire(), State: state, RunMs: int64(r.runTime), BestEffort: r.bestEffort})
+		events = append(events, r.event(state))
+	}
+	for _, r := range x.crashedRuns {
+		if owner, _ := x.successors.CurrentOwner(r.owner); owner == id && x.findRun(r.id) == nil {
+			events = append(events, r.event(wire.TaskEvent_STATE_LOST))
+		}
 	}
 	return events
 }
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -88,6 +88,9 @@
 	// attemptRetention is how long the highest attempt of a task is kept after its
 	// last order; no order is in flight for as long.
 	attemptRetention = 60 * clock.Second
+	// crashRetention is how long the report of a crash waits for its confirmation. An
+	// entry confirms it after a write to the store, whose outages last for seconds.
+	crashRetention = 60 * clock.Second
 )
 
 // phase is the state of a run as this sidecar knows it.
@@ -135,6 +138,9 @@
 	// acceptedAt is when this sidecar learned that the worker accepted the start.
 	acceptedAt clock.Millis
 	end        batch.Outcome
+	// workerCrashed is true if the worker crashed while the run may have been active.
+	workerCrashed bool
+	crashedAt     clock.Millis
 	// stalled is true if this sidecar stopped the run for lack of progress.
 	stalled bool
 	// endSequence is the worker's number of the end.
@@ -231,6 +237,16 @@
 	// replaced is true from the replacement of the worker until the first listing of
 	// the new incarnation under a higher token.
 	replaced bool
+	// timedOut is true if calls to the worker have timed out since its last answer, so
+	// that it may have been cut off.
+	timedOut bool
+	// leaseLapsed is true if the worker's lease lapsed because a grant expired.
+	leaseLapsed bool
+	// lostRuns are the runs that were reported as lost since the worker's last answer.
+	lostRuns []*run
+	// crashedRuns are the runs under which the worker crashed, until their entry has
+	// confirmed the report.
+	crashedRuns map[batch.RunID]*run
 	// fencesLoaded is true after the deposed entries have been read from the store.
 	fencesLoaded bool
 	token        int64
@@ -279,12 +295,13 @@
 // longest lease that the worker grants.
 func New(token int64, maxLease clock.Millis) *Executor {
 	return &Executor{
-		token:      token,
-		maxLease:   maxLease,
-		runs:       make(map[batch.TaskID]*run),
-		attempts:   make(map[batch.TaskID]attempt),
-		entries:    make(map[ownership.Incarnation]*entry),
-		successors: make(ownership.Successors),
+		token:       token,
+		maxLease:    maxLease,
+		runs:        make(map[batch.TaskID]*run),
+		crashedRuns: make(map[batch.RunID]*run),
+		attempts:    make(map[batch.TaskID]attempt),
+		entries:     make(map[ownership.Incarnation]*entry),
+		successors:  make(ownership.Successors),
 	}
 }
 
@@ -301,17 +318,27 @@
 	x.sendReports(now)
 	if now >= x.nextSweepAt {
 		x.nextSweepAt = now + clock.Second
-		for id, a := range x.attempts {
-			if now-a.at > attemptRetention && x.runs[id] == nil {
-				delete(x.attempts, id)
-			}
-		}
+		x.sweep(now)
 	}
 	commands := x.commands
 	x.commands = nil
 	return commands
 }
 
+// sweep forgets old attempts and crashes.
+func (x *Executor) sweep(now clock.Millis) {
+	for id, a := range x.attempts {
+		if now-a.at > attemptRetention && x.runs[id] == nil {
+			delete(x.attempts, id)
+		}
+	}
+	for id, r := range x.crashedRuns {
+		if now-r.crashedAt > crashRetention {
+			delete(x.crashedRuns, id)
+		}
+	}
+}
+
 // Idle reports whether there are no runs, so that a restart causes no delay.
 func (x *Executor) Idle() bool {
 	return len(x.runs) == 0
@@ -504,6 +531,7 @@
 			continue
 		}
 		x.leaseExpiredBy = max(now, x.latestLease()) + expiryMargin
+		x.leaseLapsed = true
 		x.commands = append(x.commands, LeaseExpiring{Entry: r.owner, Run: r.id, GrantEndedAt: expiry})
 		return
 	}
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -170,6 +170,12 @@
 // the next listing shows which are lost, since some may have been started on the
 // new incarnation.
 func (x *Executor) replaceWorker(now clock.Millis, w Worker) {
+	if w.Incarnation != x.worker.Incarnation && x.hasCrashed() {
+		x.attributeCrash(now)
+	}
+	x.timedOut = false
+	x.leaseLapsed = false
+	x.lostRuns = nil
 	for id, r := range x.runs {
 		if r.phase == ended {
 			delete(x.runs, id)
@@ -217,6 +223,7 @@
 			x.logResolved(now, r, StartUnresolved)
 			x.endRun(now, r, batch.OutcomeLost)
 			r.acknowledgeable = true
+			x.lostRuns = append(x.lostRuns, r)
 		}
 	}
 	// Ends that the worker lists after its return no longer count.
@@ -307,6 +314,8 @@
 	if !x.followListedWorker(now, l) {
 		return
 	}
+	x.timedOut = false
+	x.lostRuns = nil
 	present := make(map[batch.TaskID]bool, len(l.Running)+len(l.Ended))
 	for _, lr := range l.Running {
 		present[lr.Run.TaskID] = true
@@ -357,6 +366,7 @@
 // inventories that all entries get next.
 func (x *Executor) leaseExpired(now clock.Millis) {
 	x.leaseExpiredBy = 0
+	x.leaseLapsed = false
 	x.leaseUntil = 0
 	x.openRenewals = nil
 	for _, r := range x.runs {
@@ -390,6 +400,8 @@
 		r.acceptedAt = now
 		x.addEvent(r, wire.TaskEvent_STATE_RUNNING)
 	}
+	r.workerIncarnation = x.worker.Incarnation
+	r.workerCrashed = false
 	if lr.Percent != r.percent {
 		r.percent = lr.Percent
 		r.lastProgressAt = now
@@ -413,6 +425,7 @@
 	}
 	r.endSequence = le.Sequence
 	x.logResolved(now, r, StartExecuted)
+	r.workerCrashed = false
 	x.endRun(now, r, le.End)
 }
 
@@ -459,6 +472,10 @@
 	r.phase = ended
 	r.end = end
 	r.runTime = now - r.startedAt
+	r.workerCrashed = r.workerCrashed && end == batch.OutcomeLost
+	if r.workerCrashed {
+		x.crashedRuns[r.id] = r
+	}
 	x.commands = append(x.commands, RunEnded{Run: r.id, Entry: r.owner, Outcome: end, RunTime: r.runTime, Stopped: r.stopping})
 	x.addEventToAll(r, endState(r))
 }
--- a/internal/scheduler/besteffort.go
+++ b/internal/scheduler/besteffort.go
@@ -53,6 +53,9 @@
 	s.jobs[b.ID] = j
 	s.enqueue(j)
 	s.logAccepted(now, j)
+	if j.restoreCrashes(abandoned) {
+		s.advance(now, j)
+	}
 }
 
 // refuse replies that a job is not accepted. The result is Unknown if an earlier
@@ -200,6 +203,7 @@
 		for i := range j.tasks {
 			a.attempt = max(a.attempt, j.tasks[i].attempt, j.tasks[i].attemptFloor)
 		}
+		a.crashedAttempts = j.crashedAttempts()
 		s.abandonedAfterStart[j.ID] = a
 	}
 	if j.resubmitted == nil {
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -47,7 +47,7 @@
 	firstTask []int
 	// remaining counts the tasks of each step that are not done.
 	remaining []int
-	// pendingTasks counts the pending tasks whose step may start.
+	// pendingTasks counts the placeable tasks of a queued job.
 	pendingTasks int
 	started      bool
 	queued       bool
@@ -112,6 +112,11 @@
 	}
 }
 
+// isPlaceable reports whether a task is pending and may start now.
+func (j *job) isPlaceable(t *task) bool {
+	return t.state == taskPending && j.stepReady(t.step) && (j.BestEffort || !t.hasUnstoredCrash())
+}
+
 // stepReady reports whether all steps that a step depends on are done.
 func (j *job) stepReady(step int) bool {
 	for _, dependency := range j.Steps[step].DependsOn {
@@ -187,6 +192,7 @@
 		j.revision = revision
 		j.nonce = j.nextNonce
 		s.acknowledgeStoredEnds(j)
+		j.markCrashesStored()
 	}
 	switch kind {
 	case SaveNew:
@@ -201,6 +207,11 @@
 		return
 	}
 	s.advance(now, j)
+	if kind == SaveProgress && result == SaveDone && j.inFlight == noWrite {
+		s.dequeue(j)
+		s.enqueue(j)
+		s.saveCrashes(j)
+	}
 }
 
 func (s *Scheduler) handleNewJobSaved(now clock.Millis, j *job, result SaveResult) {
@@ -393,7 +404,7 @@
 
 func (j *job) hasFailed() bool {
 	for i := range j.tasks {
-		if j.tasks[i].failures >= j.MaxFailures {
+		if j.tasks[i].failures >= j.MaxFailures || len(j.tasks[i].crashedAttempts) >= maxCrashes {
 			return true
 		}
 	}
@@ -423,10 +434,19 @@
 // the job's progress is written, so that the worker's list of ends stays short.
 const progressDelay = 1500 * clock.Millis(1)
 
-// saveProgress writes the progress of a job with an end that has been unstored
-// for progressDelay.
+// saveProgress writes the progress of a job with an unstored crash, or with an end
+// that has been unstored for progressDelay.
 func (s *Scheduler) saveProgress(now clock.Millis, j *job) {
-	if j.inFlight != noWrite || j.recovering || len(j.unstoredEnds) == 0 || now-j.unstoredSince < progressDelay {
+	if len(j.unstoredEnds) > 0 && now-j.unstoredSince >= progressDelay {
+		s.writeProgress(j)
+		return
+	}
+	s.saveCrashes(j)
+}
+
+// writeProgress writes the progress of a job, unless a write is in flight.
+func (s *Scheduler) writeProgress(j *job) {
+	if j.inFlight != noWrite || j.recovering || s.jobs[j.ID] != j {
 		return
 	}
 	j.inFlight = progressWrite
@@ -467,7 +487,9 @@
 		return r
 	}
 	for i := range j.tasks {
-		r.Tasks = append(r.Tasks, &wire.StoredTask{Done: j.tasks[i].state == taskDone, Failures: int32(j.tasks[i].failures)})
+		t := &j.tasks[i]
+		t.crashesInWrite = len(t.crashedAttempts)
+		r.Tasks = append(r.Tasks, &wire.StoredTask{Done: t.state == taskDone, Failures: int32(t.failures), CrashedAttempts: t.storedCrashedAttempts()})
 	}
 	return r
 }
@@ -477,7 +499,7 @@
 func (s *Scheduler) enqueue(j *job) {
 	j.pendingTasks = 0
 	for i := range j.tasks {
-		if j.tasks[i].state == taskPending && j.stepReady(j.tasks[i].step) {
+		if j.isPlaceable(&j.tasks[i]) {
 			j.pendingTasks++
 		}
 	}
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -64,7 +64,7 @@
 			return true
 		}
 		t := &j.tasks[i]
-		if t.state != taskPending || !j.stepReady(t.step) {
+		if !j.isPlaceable(t) {
 			continue
 		}
 		n := s.chooseWorker(now, j, t)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -118,7 +118,7 @@
 // Counters count events since the start of the entry.
 type Counters struct {
 	Accepted, Refused, Completed, FailedJobs, CancelledJobs int64
-	Starts, Failures, Lost, NotStarted, Stalled             int64
+	Starts, Failures, Lost, NotStarted, Stalled, Crashes    int64
 	Takeovers, Ejections                                    int64
 }
 
@@ -127,6 +127,8 @@
 type abandonedJob struct {
 	at      clock.Millis
 	attempt batch.Attempt
+	// crashedAttempts holds the attempts of each task under which a worker crashed.
+	crashedAttempts map[batch.TaskID][]batch.Attempt
 }
 
 type endedJob struct {
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -117,6 +117,7 @@
 			break
 		}
 		j.tasks[i].failures = int(t.GetFailures())
+		j.tasks[i].crashes = crashesFromRecord(t)
 		if t.GetDone() {
 			j.tasks[i].state = taskDone
 			j.remaining[j.tasks[i].step]--
@@ -151,6 +152,7 @@
 				j.recovering = false
 				s.enqueue(j)
 				s.advance(now, j)
+				s.saveCrashes(j)
 			}
 		}
 		s.pendingCommands = append(s.pendingCommands, Decision{Summary: "takeover complete", Reason: string(t.deposed), Value: int64(now - t.begunAt)})
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -42,6 +42,7 @@
 	otherRuns []otherRun
 	// failedAttempts holds the attempts whose failure has been counted.
 	failedAttempts []batch.Attempt
+	crashes
 	// failedWorkers holds the workers on which the task failed.
 	failedWorkers []Address
 }
@@ -224,7 +225,7 @@
 	case wire.TaskEvent_STATE_FAILED:
 		s.handleFailed(now, n, j, t, id)
 	case wire.TaskEvent_STATE_STOPPED, wire.TaskEvent_STATE_LOST, wire.TaskEvent_STATE_STALLED:
-		s.handleLost(now, n, j, t, id, e.GetState() == wire.TaskEvent_STATE_STALLED)
+		s.handleLost(now, n, j, t, id, e)
 	case wire.TaskEvent_STATE_NOT_STARTED:
 		// The task would be refused again until its attempt is higher.
 		t.recordAttempt(batch.Attempt(e.GetHighestAttempt()))
@@ -243,6 +244,9 @@
 		return
 	}
 	if _, ok := s.ended[id.Job]; ok || e.GetBestEffort() {
+		if e.GetWorkerCrashed() {
+			s.recordCrashOfAbandoned(id)
+		}
 		n.releaseRun(id)
 		return
 	}
@@ -273,7 +277,7 @@
 		n.releaseRun(id)
 		return
 	default:
-		if t.state == taskPending && j.queued {
+		if j.queued && j.isPlaceable(t) {
 			j.pendingTasks--
 		}
 		t.state = taskBound
@@ -318,7 +322,7 @@
 		if owner := s.nodes[t.node]; owner != nil {
 			delete(owner.runs, id.TaskID)
 		}
-	} else if j.queued {
+	} else if j.queued && j.isPlaceable(t) {
 		j.pendingTasks--
 	}
 	t.state = taskDone
@@ -368,14 +372,25 @@
 }
 
 // handleLost handles a run that ended without a result.
-func (s *Scheduler) handleLost(now clock.Millis, n *node, j *job, t *task, id batch.RunID, stalled bool) {
-	n.orders().Stored = append(n.orders().Stored, id.Wire())
+func (s *Scheduler) handleLost(now clock.Millis, n *node, j *job, t *task, id batch.RunID, e *wire.TaskEvent) {
+	if e.GetWorkerCrashed() {
+		s.recordCrash(n, j, t, id)
+	}
+	if e.GetWorkerCrashed() && t.hasUnstoredCrash() {
+		s.recordUnstoredEnd(now, n, j, id)
+		defer s.saveCrashes(j)
+	} else {
+		n.orders().Stored = append(n.orders().Stored, id.Wire())
+	}
 	if !t.isBoundTo(n, id) {
 		t.recordAttempt(id.Attempt)
+		if e.GetWorkerCrashed() {
+			s.advance(now, j)
+		}
 		return
 	}
 	s.counters.Lost++
-	if stalled {
+	if e.GetState() == wire.TaskEvent_STATE_STALLED {
 		s.counters.Stalled++
 		s.recordFailure(now, n, t)
 	}
--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -342,7 +342,7 @@
 		now := p.deps.Clock.Now()
 		p.lastTimeoutAt.Store(int64(now))
 		if now-clock.Millis(p.lastAnswerAt.Load()) >= unreachableAfter {
-			p.push(func(now clock.Millis) { p.core.WorkerUnreachable(now) })
+			p.push(func(now clock.Millis) { p.core.WorkerTimedOut(now) })
 		}
 	case errors.Is(err, ErrNotSent):
 		p.push(func(now clock.Millis) {
