scheduler: Keep tasks apart under which a worker has crashed

Callers of a job that ran beside two tasks that crash their workers would see it fail: a crash counts for every run on the worker, and after the first crash the lost tasks were placed without regard to each other, so that one could be beside the second deadly task as well.

An entry now binds a task with one crash, a suspect, to the worker with the lowest utilization and never to one that has another of its suspects. Other tasks get a worker with a suspect only if no other can take them in time. Together the entries run suspects on at most a third of a service's workers, but each entry one, so that tasks that do crash their workers leave most of the service in use. A suspect that has to wait holds up neither other tasks of its job nor the jobs behind it. An entry does not know the suspects of other entries; the utilization keeps it away from them as far as it shows them.

--- a/internal/scheduler/besteffort.go
+++ b/internal/scheduler/besteffort.go
@@ -54,6 +54,7 @@
 	s.enqueue(j)
 	s.logAccepted(now, j)
 	if j.restoreCrashes(abandoned) {
+		s.addSuspects(j)
 		s.advance(now, j)
 	}
 }
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -50,6 +50,9 @@
 		return
 	}
 	t.crashedAttempts = append(t.crashedAttempts, id.Attempt)
+	if len(t.crashedAttempts) == 1 {
+		s.suspects.tasks = append(s.suspects.tasks, boundTask{j, t})
+	}
 	s.counters.Crashes++
 	s.pendingCommands = append(s.pendingCommands, Decision{Summary: "worker crashed under run", Job: j.ID, Run: id, Sidecar: n.address, Value: int64(len(t.crashedAttempts))})
 }
--- a/internal/scheduler/crashes_test.go
+++ b/internal/scheduler/crashes_test.go
@@ -179,7 +179,7 @@
 		sidecars = append(sidecars, address(i))
 	}
 	b.s.ApplyFences(map[ownership.Incarnation]ownership.Incarnation{self: "entry-b"})
-	b.s.RecoverJobs(b.now, self, []scheduler.OpenJob{{ID: "j", Revision: 9, Record: record, PreviousOwners: 1}}, sidecars)
+	b.s.RecoverJobs(b.now, self, []scheduler.OpenJob{{ID: "j", Revision: 9, Record: record, PreviousOwners: 1}}, sidecars, 0)
 	b.tick()
 	for _, a := range sidecars {
 		r := &wire.TaskReport{Inventory: true, Fenced: []string{string(self)}}
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -28,6 +28,7 @@
 		return
 	}
 	s.updateStages(now)
+	s.updateSuspects()
 	misses := 0
 	var fullyPlaced []*job
 	stored := s.mayOrderStored(now)
@@ -39,6 +40,9 @@
 			continue
 		}
 		if !s.placeJob(now, j) {
+			if s.hasPendingSuspect(j) {
+				continue
+			}
 			if misses++; misses >= maxPlacementMisses {
 				break
 			}
@@ -68,10 +72,14 @@
 			continue
 		}
 		n := s.chooseWorker(now, j, t)
+		if n == nil && t.isSuspect() {
+			continue
+		}
 		if n == nil {
 			return false
 		}
 		s.bind(now, j, t, n)
+		s.noteSuspectBound(t)
 	}
 	return j.pendingTasks == 0
 }
@@ -80,6 +88,9 @@
 // that are expected to end the task in time, nil if there is none.
 func (s *Scheduler) chooseWorker(now clock.Millis, j *job, t *task) *node {
 	step := &j.Steps[t.step]
+	if t.isSuspect() && !s.maySuspectStart(j.Service) {
+		return nil
+	}
 	var best *node
 	var bestCost float64
 	for _, n := range s.nodeList {
@@ -92,15 +103,13 @@
 		if !n.finishesInTime(now, j, step) {
 			continue
 		}
-		if slices.Contains(t.failedWorkers, n.address) && s.hasAlternative(j, t, n) {
+		if t.isSuspect() && s.suspects.nodes[n.address] {
 			continue
 		}
-		cost := n.cost(step)
-		if n.outsideSubset {
-			cost *= outsideSubsetCost * (1 + outsideSubsetNoise*s.rand.Float64())
-		} else {
-			cost *= 1 + costNoise*s.rand.Float64()
+		if slices.Contains(t.failedWorkers, n.address) && s.hasAlternative(j, t, n) {
+			continue
 		}
+		cost := s.noisyCost(n, step) + s.separationCost(t, n)
 		if best == nil || cost < bestCost {
 			best, bestCost = n, cost
 		}
@@ -108,6 +117,14 @@
 	return best
 }
 
+// noisyCost returns the cost of a worker with noise.
+func (s *Scheduler) noisyCost(n *node, step *batch.Step) float64 {
+	if n.outsideSubset {
+		return n.cost(step) * outsideSubsetCost * (1 + outsideSubsetNoise*s.rand.Float64())
+	}
+	return n.cost(step) * (1 + costNoise*s.rand.Float64())
+}
+
 // eligible reports whether a worker takes tasks of a step, regardless of its free
 // capacity.
 func (n *node) eligible(service string, step *batch.Step) bool {
@@ -133,12 +150,16 @@
 // cost returns the expected run time of a task in ms, weighted by the worker's
 // utilization.
 func (n *node) cost(step *batch.Step) float64 {
-	cost := max(1, n.expectedRunTime(step))
-	if n.capacity.CPU > 0 {
-		utilization := 1 - float64(n.free.CPU)/float64(n.capacity.CPU)
-		cost *= 1 + utilizationWeight*utilization*utilization*utilization
+	utilization := n.utilization()
+	return max(1, n.expectedRunTime(step)) * (1 + utilizationWeight*utilization*utilization*utilization)
+}
+
+// utilization returns the part of the worker's CPU that is in use.
+func (n *node) utilization() float64 {
+	if n.capacity.CPU <= 0 {
+		return 0
 	}
-	return cost
+	return 1 - float64(n.free.CPU)/float64(n.capacity.CPU)
 }
 
 // hasAlternative reports whether a worker that has not failed the task could take
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -83,6 +83,7 @@
 	contactAt clock.Millis
 	// storeFailing is true while the store refuses this entry's calls.
 	storeFailing bool
+	suspects     suspects
 	// stored is the number of stored jobs in jobs.
 	stored       int
 	subsetUpdate subsetRefresh
@@ -152,6 +153,7 @@
 		peerPending:         make(map[ownership.Incarnation]map[batch.Route]int64),
 		pools:               make(map[string]*pool),
 		patience:            make(map[batch.Route]patience),
+		suspects:            suspects{nodes: make(map[Address]bool)},
 		entryCount:          1,
 	}
 }
