executor: Tell a late earlier attempt apart from the later one

A start without an answer was resolved, the task started again on the same worker, and the worker crashed. When its next incarnation executed the first start late, the listing named the task, and the sidecar took that for the second attempt: the loss of the second one was never reported, its capacity stayed taken, and nothing stopped the first one. A stored job waited for ever.

Runs missing from a listing are now found by task and attempt, and a listed run below the known attempt is stopped.

Without the change TestLateEarlierAttemptDoesNotHideTheLossOfTheLaterOne: no stop of the first attempt; state of the second attempt: got STATE_RUNNING, want STATE_LOST.

--- a/internal/executor/commands.go
+++ b/internal/executor/commands.go
@@ -62,6 +62,8 @@
 	// StopOwnerDeposed means that another entry took over from the one that ordered
 	// the run.
 	StopOwnerDeposed StopReason = "owner-deposed"
+	// StopSuperseded means that a later attempt of the task is known here.
+	StopSuperseded StopReason = "superseded"
 )
 
 // RunEnded reports that a run has ended. It asks for no action.
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strconv"
 	"testing"
 
@@ -379,6 +380,43 @@
 	}
 }
 
+// Guards against a run that is never reported as lost, and against one that nothing
+// stops: a late start of an earlier attempt hid the loss of the later one.
+func TestLateEarlierAttemptDoesNotHideTheLossOfTheLaterOne(t *testing.T) {
+	h := newHarness(t)
+	first, second := runID("j"), runID("j")
+	second.Attempt = 2
+	h.x.OrdersReceived(h.now, entryA, h.orders(start(first, 6000, true)))
+	h.tick()
+	h.x.StartAnswered(h.now, first, firstToken, executor.StartUnknown)
+	h.advance(20)
+	h.list(h.x.ListRequest(h.now).Token, 1, nil, nil)
+	h.advance(20)
+	h.x.OrdersReceived(h.now, entryA, h.orders(start(second, 6000, true)))
+	h.tick()
+	for _, s := range h.starts() {
+		h.x.StartAnswered(h.now, s.Run, s.Token, executor.StartAccepted)
+	}
+	h.advance(100)
+	h.sequence = 0
+	h.report(2, 20_000)
+	h.list(h.x.ListRequest(h.now).Token, 2, []executor.ListedRun{{Run: first}}, nil)
+	h.tick()
+	commands := h.take()
+	stopped := slices.ContainsFunc(commands, func(c executor.Command) bool {
+		s, ok := c.(executor.StopRun)
+		return ok && s.Run == first
+	})
+	if !stopped {
+		t.Errorf("commands: got %v, want a stop of the first attempt", commands)
+	}
+	h.commands = commands
+	h.advance(20)
+	if got, want := h.states(entryA)[second], wire.TaskEvent_STATE_LOST; got != want {
+		t.Errorf("state of the second attempt: got %v, want %v", got, want)
+	}
+}
+
 // A report that was delayed by a network partition must not restore an earlier
 // incarnation.
 func TestStaleReportOfAnEarlierIncarnationIsIgnored(t *testing.T) {
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -316,17 +316,17 @@
 	}
 	x.timedOut = false
 	x.lostRuns = nil
-	present := make(map[batch.TaskID]bool, len(l.Running)+len(l.Ended))
+	present := make(map[batch.RunID]bool, len(l.Running)+len(l.Ended))
 	for _, lr := range l.Running {
-		present[lr.Run.TaskID] = true
+		present[lr.Run] = true
 		x.handleListedRun(now, lr)
 	}
 	for _, le := range l.Ended {
-		present[le.Run.TaskID] = true
+		present[le.Run] = true
 		x.handleListedEnd(now, le)
 	}
-	for id, r := range x.runs {
-		if present[id] {
+	for _, r := range x.runs {
+		if present[r.id] {
 			continue
 		}
 		switch {
@@ -392,6 +392,8 @@
 		return
 	}
 	if r.id.Attempt > lr.Run.Attempt {
+		// A start of an earlier attempt was executed late.
+		x.commands = append(x.commands, StopRun{Run: lr.Run, Token: x.token, Entry: r.owner, Reason: StopSuperseded})
 		return
 	}
 	if r.phase == unanswered || r.phase == starting {
