executor: Resolve no unanswered start by a full listing

A listing has at most 500 ends. A run whose start got no answer and whose end was among the omitted ones was reported as not started, so the caller could be told that its job had not run, or the task ran again. A full listing already ended no run that the worker had accepted; now it tells nothing about any run that it lacks. Without the change TestFullListingResolvesNoUnansweredStart got STATE_NOT_STARTED, want none.

--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -380,6 +380,26 @@
 	}
 }
 
+// Guards against a caller that is told that its job has not run: a listing that is
+// full may omit the end of a run whose start got no answer.
+func TestFullListingResolvesNoUnansweredStart(t *testing.T) {
+	h := newHarness(t)
+	id := runID("j")
+	h.x.OrdersReceived(h.now, entryA, h.orders(start(id, 6000, true)))
+	h.tick()
+	h.x.StartAnswered(h.now, id, firstToken, executor.StartUnknown)
+	h.advance(20)
+	var ends []executor.ListedEnd
+	for i := range 500 {
+		ends = append(ends, executor.ListedEnd{Sequence: int64(i + 1), Run: runID("o" + strconv.Itoa(i)), End: batch.OutcomeDone})
+	}
+	h.list(h.x.ListRequest(h.now).Token, 1, nil, ends)
+	h.advance(20)
+	if got, ok := h.states(entryA)[id]; ok {
+		t.Errorf("state after a full listing: got %v, want none", got)
+	}
+}
+
 // Guards against a run that is never reported as lost, and against one that nothing
 // stops: a late start of an earlier attempt hid the loss of the later one.
 func TestLateEarlierAttemptDoesNotHideTheLossOfTheLaterOne(t *testing.T) {
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -325,8 +325,9 @@
 		present[le.Run] = true
 		x.handleListedEnd(now, le)
 	}
+	isFull := len(l.Ended) >= maxListedEnds
 	for _, r := range x.runs {
-		if present[r.id] {
+		if present[r.id] || isFull {
 			continue
 		}
 		switch {
@@ -339,7 +340,7 @@
 			x.logResolved(now, r, StartRejected)
 			x.release(r)
 			x.returnTask(r)
-		case r.phase == running && r.acceptedAt < l.RequestedAt && len(l.Ended) < maxListedEnds:
+		case r.phase == running && r.acceptedAt < l.RequestedAt:
 			// The worker knows neither the run nor its end.
 			x.endRun(now, r, batch.OutcomeLost)
 			r.acknowledgeable = true
@@ -358,7 +359,7 @@
 }
 
 // maxListedEnds is the greatest number of ends in one listing. A full listing may
-// omit ends, so runs missing from it aren't lost.
+// omit ends, so it tells nothing about the runs missing from it.
 const maxListedEnds = 500
 
 // leaseExpired handles the expiry of the worker's lease. An end whose owner's grant
