scheduler: Grant no runs at a sidecar that has given no inventory

A sidecar that restarted beside a worker that was away had no inventory to give, and the entry went on granting the runs that it had there. Nothing gave them up: their tasks were not placed again, abandoned jobs were not removed, and their resubmissions never started. Since a sidecar gives no state of an unknown run before the first listing, a stop did not end that either.

An entry now counts and sends a grant only in a session with an inventory. The grants end on both sides as with a silent sidecar. The sidecar answers for unknown runs again once it has had a listing at all, also if its worker is away.

--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -147,7 +147,7 @@
 	id := batch.RunIDFromWire(s.GetRun())
 	r := x.findRun(id)
 	switch {
-	case r == nil && x.isInventoryPending(from):
+	case r == nil && !x.hasListed:
 		return
 	case r == nil && s.GetBestEffort():
 		x.addEvent(&run{id: id, owner: from, bestEffort: true}, wire.TaskEvent_STATE_LOST)
@@ -233,7 +233,7 @@
 		if known := x.attempts[id.TaskID]; known.number < id.Attempt {
 			x.attempts[id.TaskID] = attempt{number: id.Attempt, at: known.at}
 		}
-		if x.isInventoryPending(from) {
+		if !x.hasListed {
 			return
 		}
 		x.addEvent(&run{id: id, owner: from}, wire.TaskEvent_STATE_NOT_STARTED)
@@ -247,13 +247,6 @@
 	}
 }
 
-// isInventoryPending reports whether an entry gets an inventory after the worker's
-// next listing. Until then a run that is not known here may be active: an earlier
-// sidecar may have started it.
-func (x *Executor) isInventoryPending(id ownership.Incarnation) bool {
-	return x.entry(id).inventoryDue && !x.runsListed
-}
-
 // handleRelease stops a run whose job is no longer open and permits its end to be
 // acknowledged.
 func (x *Executor) handleRelease(now clock.Millis, from ownership.Incarnation, id batch.RunID) {
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -234,6 +234,9 @@
 	// runsListed is true after the worker has listed its runs under this sidecar's
 	// token; nothing is started before then.
 	runsListed bool
+	// hasListed is true once runsListed was true. Before, the worker may have runs of an
+	// earlier sidecar that are not known here.
+	hasListed bool
 	// replaced is true from the replacement of the worker until the first listing of
 	// the new incarnation under a higher token.
 	replaced bool
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -347,6 +347,7 @@
 		}
 	}
 	x.runsListed = x.runsListed || l.Token == x.token
+	x.hasListed = x.hasListed || x.runsListed
 	if x.runsListed && x.replaced {
 		// Earlier calls may have renewed the lease up to now, with an end by the clock
 		// of the previous incarnation.
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -306,7 +306,7 @@
 		}
 		unmet := s.demandFor(now, n)
 		updateDue := n.outsideSubset != n.outsideSubsetSent ||
-			n.reportSentAt != n.grantedFrom && n.reportSentAt != 0 && (n.offered || s.needsGrant(n) && now-n.grantedReportAt >= grantInterval)
+			n.hasInventory && n.reportSentAt != n.grantedFrom && n.reportSentAt != 0 && (n.offered || s.needsGrant(n) && now-n.grantedReportAt >= grantInterval)
 		demandRaised := unmet.urgency != 0 && (n.sentDemand == 0 || unmet.urgency < n.sentDemand) && now-n.sentDemandAt >= demandInterval
 		if n.pendingOrders == nil && !updateDue && !demandRaised {
 			continue
@@ -315,7 +315,9 @@
 		n.pendingOrders = nil
 		n.sequence++
 		orders.Sequence = n.sequence
-		orders.GrantedFrom = n.reportSentAt
+		if n.hasInventory {
+			orders.GrantedFrom = n.reportSentAt
+		}
 		orders.StoredWithheld = storedWithheld
 		orders.Demand, orders.DemandCpu = unmet.urgency, unmet.cpu
 		orders.Loose = n.outsideSubset
@@ -324,11 +326,21 @@
 			n.sentDemand, n.sentDemandAt = unmet.urgency, now
 		}
 		n.offered = false
-		n.grantedFrom = n.reportSentAt
-		n.grantedReportAt = n.reportReceivedAt
-		if !storedWithheld {
-			n.storedGrantedReportAt = n.reportReceivedAt
-		}
+		n.recordGrant(storedWithheld)
 		s.pendingCommands = append(s.pendingCommands, SendOrders{Sidecar: n.incarnation, Orders: orders})
 	}
 }
+
+// recordGrant records that orders with a grant are sent. Without an inventory there is
+// none: a sidecar that has restarted knows no runs while its worker is away, and the
+// runs that this entry had there would be kept for ever.
+func (n *node) recordGrant(storedWithheld bool) {
+	if !n.hasInventory {
+		return
+	}
+	n.grantedFrom = n.reportSentAt
+	n.grantedReportAt = n.reportReceivedAt
+	if !storedWithheld {
+		n.storedGrantedReportAt = n.reportReceivedAt
+	}
+}
