executor: Report a crash of a worker that refuses connections

A run of a crashed worker is lost about 0.75 s after the crash, but the crash was reported only once the next incarnation appeared, seconds later. Meanwhile the task that caused it crashed further workers.

A run that is lost after the worker has refused connections for 400 ms is reported with the crash at once: nothing listens there any more. Connections that time out accuse nobody, and neither does one refusal after a pause of the sidecar.

Without the attribution TestCrashIsReportedForItsRuns/not_back_yet: reports of crashes: got map[], want one.

--- a/internal/executor/crashes.go
+++ b/internal/executor/crashes.go
@@ -14,8 +14,29 @@
 	x.WorkerUnreachable(now)
 }
 
-// hasCrashed reports whether the worker has crashed if a new incarnation replaces it.
-// One that drained, was cut off or whose lease lapsed may have ended for that reason.
+// crashRefusalTime is how long a worker refuses connections before it counts as crashed
+// although no new incarnation has appeared: that takes seconds, in which the task would
+// start on further workers. It spans several listings.
+const crashRefusalTime = 400 * clock.Millis(1)
+
+// attributeRefusals attributes a crash to a run that is about to be lost, if the worker
+// has refused connections for crashRefusalTime.
+func (x *Executor) attributeRefusals(now clock.Millis, r *run) {
+	if x.refusedSince != 0 && now-x.refusedSince >= crashRefusalTime && x.hasCrashed() && r.workerIncarnation == x.worker.Incarnation {
+		r.workerCrashed = true
+		r.crashedAt = now
+	}
+}
+
+// resetOutage forgets the calls that the worker did not answer.
+func (x *Executor) resetOutage() {
+	x.timedOut = false
+	x.refusedSince = 0
+	x.lostRuns = nil
+}
+
+// hasCrashed reports whether the worker has crashed if it has ended. One that drained,
+// was cut off or whose lease lapsed may have ended for that reason.
 func (x *Executor) hasCrashed() bool {
 	return x.worker.Incarnation != 0 && !x.worker.Draining && !x.draining && !x.timedOut && !x.leaseLapsed
 }
--- a/internal/executor/crashes_test.go
+++ b/internal/executor/crashes_test.go
@@ -55,14 +55,18 @@
 	h.advance(20)
 }
 
-// keepGranted moves the time forward while the entry grants its runs and the worker
-// refuses calls.
-func (h *harness) keepGranted(d clock.Millis) {
+// refuse moves the time forward while the entry grants its runs and the worker refuses
+// connections.
+func (h *harness) refuse(d clock.Millis) {
+	h.x.ListRequest(h.now)
 	for end := h.now + d; h.now < end; {
-		h.advance(50)
 		h.x.OrdersReceived(h.now, entryA, h.orders())
+		r := h.x.ListRequest(h.now)
+		h.advance(50)
+		h.x.ListingNotSent(r)
 		h.x.WorkerUnreachable(h.now)
 	}
+	h.tick()
 }
 
 // An entry that is not told of the crash of a worker starts the task that caused it on
@@ -72,11 +76,13 @@
 	for name, crash := range map[string]func(h *harness){
 		"running":             func(h *harness) { h.startRun(id, executor.StartAccepted); h.returnAs(2) },
 		"start without reply": func(h *harness) { h.startRun(id, executor.StartUnknown); h.returnAs(2) },
-		"calls refused": func(h *harness) {
+		"connections refused": func(h *harness) {
 			h.startRun(id, executor.StartAccepted)
-			h.keepGranted(2 * clock.Second)
+			h.refuse(2 * clock.Second)
 			h.returnAs(2)
 		},
+		// A worker is away for seconds, in which the task would crash further ones.
+		"not back yet": func(h *harness) { h.startRun(id, executor.StartAccepted); h.refuse(900) },
 		"second crash before a listing": func(h *harness) {
 			h.startRun(id, executor.StartAccepted)
 			h.sequence = 0
@@ -122,6 +128,8 @@
 			h.returnAs(2)
 		},
 		"sidecar restarted": func(h *harness) {
+			h.list(h.x.ListRequest(h.now).Token, 1, []executor.ListedRun{{Run: id}}, nil)
+			h.advance(10)
 			h.list(h.x.ListRequest(h.now).Token, 1, []executor.ListedRun{{Run: id}}, nil)
 			h.x.OrdersReceived(h.now, entryA, &wire.TaskOrders{GrantedFrom: int64(h.now), Adopts: []*wire.TaskStart{start(id, 100, false)}})
 			h.returnAs(2)
@@ -133,6 +141,18 @@
 			h.list(h.x.ListRequest(h.now).Token, 2, nil, nil)
 			h.advance(20)
 		},
+		"sidecar paused, then refused once": func(h *harness) {
+			h.startRun(id, executor.StartAccepted)
+			h.now += 2 * clock.Second
+			h.refuse(50)
+			h.returnAs(1)
+		},
+		"timed out, then refused": func(h *harness) {
+			h.startRun(id, executor.StartAccepted)
+			h.x.WorkerTimedOut(h.now)
+			h.refuse(2 * clock.Second)
+			h.returnAs(2)
+		},
 		"unreachable for a moment": func(h *harness) {
 			h.startRun(id, executor.StartAccepted)
 			h.x.WorkerUnreachable(h.now)
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -243,9 +243,13 @@
 	// timedOut is true if calls to the worker have timed out since its last answer, so
 	// that it may have been cut off.
 	timedOut bool
+	// refusedSince is when the worker refused the first connection since its last answer,
+	// 0 if it has refused none.
+	refusedSince clock.Millis
 	// leaseLapsed is true if the worker's lease lapsed because a grant expired.
 	leaseLapsed bool
-	// lostRuns are the runs that were reported as lost since the worker's last answer.
+	// lostRuns are the runs that were reported as lost since the worker's last answer,
+	// without a crash.
 	lostRuns []*run
 	// crashedRuns are the runs under which the worker crashed, until their entry has
 	// confirmed the report.
@@ -575,10 +579,10 @@
 // a renewal that is in flight.
 const expiryMargin = 150 * clock.Millis(1)
 
-// nextLease returns the new end of the worker's lease, 0 for no renewal. started is a run that is about to start, or nil. The lease doesn't
-// outlast the grant of any run, apart from bestEffortStopMargin for best-effort
-// runs. A worker without active runs and unstored ends needs no lease: the next
-// start sets it.
+// nextLease returns the new end of the worker's lease, 0 for no renewal. started is a
+// run that is about to start, or nil. The lease doesn't outlast the grant of any run,
+// apart from bestEffortStopMargin for best-effort runs. A worker without active runs
+// and unstored ends needs no lease: the next start sets it.
 func (x *Executor) nextLease(now clock.Millis, started *run) clock.Millis {
 	if x.leaseExpiredBy != 0 {
 		return 0
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -93,6 +93,9 @@
 // lease is known the renewal counts nevertheless, since an earlier sidecar may have
 // sent one.
 func (x *Executor) ListingNotSent(request ListRequest) {
+	if x.refusedSince == 0 {
+		x.refusedSince = request.RequestedAt
+	}
 	isRequested := func(r renewal) bool { return r.number == request.Number }
 	if x.leaseUntil == 0 {
 		x.closeRenewals(isRequested)
@@ -173,9 +176,8 @@
 	if w.Incarnation != x.worker.Incarnation && x.hasCrashed() {
 		x.attributeCrash(now)
 	}
-	x.timedOut = false
+	x.resetOutage()
 	x.leaseLapsed = false
-	x.lostRuns = nil
 	for id, r := range x.runs {
 		if r.phase == ended {
 			delete(x.runs, id)
@@ -221,9 +223,12 @@
 		// that rejects the start. A later listing resolves it.
 		if r.phase == running || isStart && now-r.startedAt >= lateStartTimeout {
 			x.logResolved(now, r, StartUnresolved)
+			x.attributeRefusals(now, r)
 			x.endRun(now, r, batch.OutcomeLost)
 			r.acknowledgeable = true
-			x.lostRuns = append(x.lostRuns, r)
+			if !r.workerCrashed {
+				x.lostRuns = append(x.lostRuns, r)
+			}
 		}
 	}
 	// Ends that the worker lists after its return no longer count.
@@ -314,8 +319,7 @@
 	if !x.followListedWorker(now, l) {
 		return
 	}
-	x.timedOut = false
-	x.lostRuns = nil
+	x.resetOutage()
 	present := make(map[batch.RunID]bool, len(l.Running)+len(l.Ended))
 	for _, lr := range l.Running {
 		present[lr.Run] = true
@@ -404,8 +408,10 @@
 		r.acceptedAt = now
 		x.addEvent(r, wire.TaskEvent_STATE_RUNNING)
 	}
-	r.workerIncarnation = x.worker.Incarnation
-	r.workerCrashed = false
+	if r.workerCrashed {
+		r.workerIncarnation = x.worker.Incarnation
+		r.workerCrashed = false
+	}
 	if lr.Percent != r.percent {
 		r.percent = lr.Percent
 		r.lastProgressAt = now
