executor: Show that a resolved start may run on the next incarnation, known red

The token that resolves a start without an answer voids it only at the incarnation of the worker that has seen it. The next one under the same ID may execute the start before its first listing, while the task runs elsewhere.

--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -380,6 +380,29 @@
 	}
 }
 
+// Guards against two runs of a task at once: a start that a listing under a higher
+// token had resolved as not started is executed by the next incarnation of the worker,
+// which has not seen that token, while the task runs elsewhere.
+func TestResolvedStartDoesNotRunOnTheNextIncarnation(t *testing.T) {
+	h := newHarness(t)
+	id := runID("j")
+	h.x.OrdersReceived(h.now, entryA, h.orders(start(id, 6000, true)))
+	h.tick()
+	h.x.StartAnswered(h.now, id, firstToken, executor.StartUnknown)
+	h.advance(20)
+	h.list(h.x.ListRequest(h.now).Token, 1, nil, nil)
+	h.advance(20)
+	before := h.states(entryA)[id]
+	h.advance(2 * clock.Second)
+	h.sequence = 0
+	h.report(2, 20_000)
+	h.list(h.x.ListRequest(h.now).Token, 2, []executor.ListedRun{{Run: id}}, nil)
+	h.advance(150)
+	if after := h.states(entryA)[id]; before == wire.TaskEvent_STATE_NOT_STARTED && after == wire.TaskEvent_STATE_RUNNING {
+		t.Errorf("states: got %v, then %v", before, after)
+	}
+}
+
 // Guards against a caller that is told that its job has not run: a listing that is
 // full may omit the end of a run whose start got no answer.
 func TestFullListingResolvesNoUnansweredStart(t *testing.T) {
