executor: Let the lease of a silent worker lapse

The runs of a worker that never came back and answered no call were kept as running for ever: each listing without an answer counted as a renewal of the lease, so the lease by which they are lost never ended. Stored jobs waited without end, and tasks of best-effort jobs until their deadline.

After 3 s without an answered listing the lease is not renewed any more. The runs are lost once it is over, as with a worker that refuses connections.

--- a/internal/executor/crashes.go
+++ b/internal/executor/crashes.go
@@ -32,6 +32,7 @@
 func (x *Executor) resetOutage() {
 	x.timedOut = false
 	x.refusedSince = 0
+	x.silentSince = 0
 	x.lostRuns = nil
 }
 
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -82,6 +82,10 @@
 	// unclaimedDelay is the time before an entry is asked, or asked again, whether
 	// the job of an unclaimed run is still open.
 	unclaimedDelay = 1 * clock.Second
+	// maxSilence is how long listings without an answer renew the lease. A worker that
+	// loses answers answers some of them; the runs of one that answers none for longer
+	// are lost once the lease is over.
+	maxSilence = 3 * clock.Second
 	// lateStartTimeout is how long after an unanswered start a worker may still
 	// execute it. Workers execute late calls within seconds.
 	lateStartTimeout = 15 * clock.Second
@@ -246,6 +250,8 @@
 	// refusedSince is when the worker refused the first connection since its last answer,
 	// 0 if it has refused none.
 	refusedSince clock.Millis
+	// silentSince is since when the worker has been unreachable, 0 if it is not.
+	silentSince clock.Millis
 	// leaseLapsed is true if the worker's lease lapsed because a grant expired.
 	leaseLapsed bool
 	// lostRuns are the runs that were reported as lost since the worker's last answer,
--- a/internal/executor/unreachable_test.go
+++ b/internal/executor/unreachable_test.go
@@ -102,3 +102,38 @@
 		t.Errorf("loss of a run of an earlier sidecar: got after %d ms, want %d to %d", got, earliest, want)
 	}
 }
+
+// Guards against the runs of a worker that never comes back and answers no call, which
+// were kept for ever: each listing without an answer counted as a renewal of the lease.
+func TestRunsOfASilentWorkerAreLost(t *testing.T) {
+	for name, tt := range map[string]struct {
+		bestEffort bool
+		result     executor.StartResult
+		want       clock.Millis
+	}{
+		"stored":           {false, executor.StartAccepted, 4 * clock.Second},
+		"best-effort":      {true, executor.StartAccepted, 4 * clock.Second},
+		"unanswered start": {true, executor.StartUnknown, 16 * clock.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			id := runID("j")
+			h.x.OrdersReceived(h.now, entryA, h.orders(start(id, 6000, tt.bestEffort)))
+			h.tick()
+			h.x.StartAnswered(h.now, id, firstToken, tt.result)
+			since := h.now
+			for h.now-since < 20*clock.Second {
+				h.x.ListRequest(h.now)
+				h.x.OrdersReceived(h.now, entryA, h.orders())
+				h.advance(100)
+				h.x.WorkerTimedOut(h.now)
+				if h.states(entryA)[id] == wire.TaskEvent_STATE_LOST {
+					break
+				}
+			}
+			if got := h.now - since; got > tt.want {
+				t.Errorf("loss of the run: got after %d ms, want within %d", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -81,6 +81,9 @@
 	}
 	x.lastListRequest++
 	until := x.nextLease(now, nil)
+	if x.silentSince != 0 && now-x.silentSince >= maxSilence {
+		until = 0
+	}
 	x.closeRenewals(func(r renewal) bool { return r.until <= now })
 	if until != 0 {
 		x.openRenewals = append(x.openRenewals, renewal{x.lastListRequest, until})
@@ -213,6 +216,9 @@
 		x.runsListed = false
 		x.loadVersion++
 	}
+	if x.silentSince == 0 {
+		x.silentSince = now
+	}
 	if lease := x.latestLease(); lease == 0 || now < lease+expiryMargin {
 		return
 	}
