executor: Count the crash of a silent worker once it is replaced

The sidecar took each silent worker for one that had been cut off and accused no run.

A worker that comes back as a new incarnation has ended, whether it was cut off or not, and the runs that were active on it were lost with it. They are now reported with the crash at its replacement. Silence alone still accuses nobody: the cases of a worker that is cut off, or silent and then refusing, and comes back as the same incarnation stay among the ends that are no crash. They had been written with a new incarnation, which is what made silent crashes invisible.

Without the change TestCrashIsReportedForItsRuns/silent and /silent_for_long: reports of crashes: got map[], want one.

--- a/internal/executor/crashes.go
+++ b/internal/executor/crashes.go
@@ -8,7 +8,8 @@
 )
 
 // WorkerTimedOut handles listings that have timed out for some time. Unlike one that
-// refuses calls, such a worker may run on.
+// refuses calls, such a worker may run on, so only its next incarnation shows that it
+// has crashed.
 func (x *Executor) WorkerTimedOut(now clock.Millis) {
 	x.timedOut = true
 	x.WorkerUnreachable(now)
@@ -22,7 +23,7 @@
 // attributeRefusals attributes a crash to a run that is about to be lost, if the worker
 // has refused connections for crashRefusalTime.
 func (x *Executor) attributeRefusals(now clock.Millis, r *run) {
-	if x.refusedSince != 0 && now-x.refusedSince >= crashRefusalTime && x.hasCrashed() && r.workerIncarnation == x.worker.Incarnation {
+	if x.refusedSince != 0 && now-x.refusedSince >= crashRefusalTime && !x.timedOut && x.hasCrashed() && r.workerIncarnation == x.worker.Incarnation {
 		r.workerCrashed = true
 		r.crashedAt = now
 	}
@@ -36,10 +37,12 @@
 	x.lostRuns = nil
 }
 
-// hasCrashed reports whether the worker has crashed if it has ended. One that drained,
-// was cut off or whose lease lapsed may have ended for that reason.
+// hasCrashed reports whether the worker has crashed if it has ended. One that drained
+// or whose lease lapsed may have ended for that reason. One that was silent before may
+// have been cut off, but it ended while its runs were active, and a task whose crashes
+// are silent would otherwise start without limit.
 func (x *Executor) hasCrashed() bool {
-	return x.worker.Incarnation != 0 && !x.worker.Draining && !x.draining && !x.timedOut && !x.leaseLapsed
+	return x.worker.Incarnation != 0 && !x.worker.Draining && !x.draining && !x.leaseLapsed
 }
 
 // attributeCrash attributes the crash of the worker to the runs that this sidecar
--- a/internal/executor/crashes_test.go
+++ b/internal/executor/crashes_test.go
@@ -83,6 +83,22 @@
 		},
 		// A worker is away for seconds, in which the task would crash further ones.
 		"not back yet": func(h *harness) { h.startRun(id, executor.StartAccepted); h.refuse(900) },
+		// Without these, a task whose crashes are silent starts without limit.
+		"silent": func(h *harness) {
+			h.startRun(id, executor.StartAccepted)
+			h.x.WorkerTimedOut(h.now)
+			h.returnAs(2)
+		},
+		"silent for long": func(h *harness) {
+			h.startRun(id, executor.StartAccepted)
+			for range 50 {
+				h.x.ListRequest(h.now)
+				h.x.OrdersReceived(h.now, entryA, h.orders())
+				h.advance(100)
+				h.x.WorkerTimedOut(h.now)
+			}
+			h.returnAs(2)
+		},
 		"second crash before a listing": func(h *harness) {
 			h.startRun(id, executor.StartAccepted)
 			h.sequence = 0
@@ -108,7 +124,7 @@
 		"cut off": func(h *harness) {
 			h.startRun(id, executor.StartAccepted)
 			h.x.WorkerTimedOut(h.now)
-			h.returnAs(2)
+			h.returnAs(1)
 		},
 		"draining": func(h *harness) {
 			h.startRun(id, executor.StartAccepted)
@@ -151,7 +167,7 @@
 			h.startRun(id, executor.StartAccepted)
 			h.x.WorkerTimedOut(h.now)
 			h.refuse(2 * clock.Second)
-			h.returnAs(2)
+			h.returnAs(1)
 		},
 		"unreachable for a moment": func(h *harness) {
 			h.startRun(id, executor.StartAccepted)
