scheduler: Permit a task three crashes

Callers of stored jobs that harm nothing saw them fail where many workers crash: a crash counts for every task on the worker.

The job now ends as failed after the third crash. A task that crashes its workers costs one worker more, and still starts no more after three.

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -8,9 +8,9 @@
 )
 
 // maxCrashes is the number of workers that may crash under a task before its job ends
-// as failed. A single crash may have had another cause; a third one would cost the
-// service another worker for some seconds.
-const maxCrashes = 2
+// as failed. Crashes have other causes too, and every task on the worker counts them: a
+// job that harms nothing meets two within seconds where many workers crash.
+const maxCrashes = 3
 
 // crashes are the crashes of workers under runs of a task.
 type crashes struct {
--- a/internal/scheduler/suspects.go
+++ b/internal/scheduler/suspects.go
@@ -13,7 +13,8 @@
 )
 
 // suspects are the tasks under which a worker has crashed. A run of one is kept apart
-// from other runs: a second crash fails the jobs of all tasks that it has hit twice.
+// from other runs: each crash counts for all tasks on the worker, and the last one
+// permitted fails their jobs.
 type suspects struct {
 	tasks []boundTask
 	// nodes holds the workers to which one is bound.
