scheduler: Let suspects wait only briefly for their turn

Their tasks had met a crash beside such a task, and each entry ran one suspect at a time; the crash of a silent worker is known after up to 4 s, so they waited behind the others.

The bound on suspects holds for 1.5 s after the crash.

Without the change TestSuspectsWaitBriefly: starts of suspects on 6 workers in 2 s: got 2, want 6.

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -5,6 +5,7 @@
 
 	"github.com/teaseltide/teaseltide/internal/batch"
 	"github.com/teaseltide/teaseltide/internal/wire"
+	"github.com/teaseltide/teaseltide/pkg/clock"
 )
 
 // maxCrashes is the number of workers that may crash under a task before its job ends
@@ -20,6 +21,8 @@
 	// storedCrashes is the number of crashedAttempts in the store, crashesInWrite that
 	// in the newest write.
 	storedCrashes, crashesInWrite int
+	// lastCrashAt is when the newest crash was reported to this entry.
+	lastCrashAt clock.Millis
 }
 
 // hasUnstoredCrash reports whether a crash is not in the store. A stored task must not
@@ -50,6 +53,7 @@
 		return
 	}
 	t.crashedAttempts = append(t.crashedAttempts, id.Attempt)
+	t.lastCrashAt = s.now
 	if len(t.crashedAttempts) == 1 {
 		s.suspects.tasks = append(s.suspects.tasks, boundTask{j, t})
 	}
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -88,7 +88,7 @@
 // that are expected to end the task in time, nil if there is none.
 func (s *Scheduler) chooseWorker(now clock.Millis, j *job, t *task) *node {
 	step := &j.Steps[t.step]
-	if t.isSuspect() && !s.maySuspectStart(j.Service) {
+	if t.isSuspect() && !s.maySuspectStart(now, t, j.Service) {
 		return nil
 	}
 	var best *node
--- a/internal/scheduler/suspects.go
+++ b/internal/scheduler/suspects.go
@@ -1,11 +1,19 @@
 package scheduler
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/teaseltide/teaseltide/pkg/clock"
+)
 
 const (
 	// maxSuspectFraction bounds the part of a service's workers on which suspects run
 	// at a time, over all entries: each of them may crash its worker.
 	maxSuspectFraction = 1.0 / 3
+	// maxSuspectWait is how long after its crash a suspect waits because of that bound.
+	// The crash of a silent worker is known only after seconds, so with many suspects
+	// one that harms nothing would wait for very long.
+	maxSuspectWait = 1500 * clock.Millis(1)
 	// suspectCost is added to the cost of a worker, in ms, to keep suspects and other
 	// tasks apart. It exceeds any expected run time, so that a worker without it is
 	// preferred whenever it has room and ends the task in time.
@@ -61,7 +69,10 @@
 
 // maySuspectStart reports whether one more suspect may run on the workers of a service.
 // The entries share the bound evenly.
-func (s *Scheduler) maySuspectStart(service string) bool {
+func (s *Scheduler) maySuspectStart(now clock.Millis, t *task, service string) bool {
+	if now-t.lastCrashAt >= maxSuspectWait {
+		return true
+	}
 	serving, taken := 0, 0
 	for _, n := range s.nodeList {
 		if !n.connected || n.load.GetService() != service {
--- a/internal/scheduler/suspects_test.go
+++ b/internal/scheduler/suspects_test.go
@@ -118,6 +118,21 @@
 	}
 }
 
+// Jobs that harm nothing had not ended 14 s after the traffic: their tasks waited behind
+// many others under which a worker had crashed, of which one ran at a time.
+func TestSuspectsWaitBriefly(t *testing.T) {
+	b := newTestbed(t, 6)
+	var ids []string
+	for i := range 6 {
+		ids = append(ids, "suspect"+strconv.Itoa(i))
+	}
+	b.crashOnce(ids...)
+	b.advance(2 * clock.Second)
+	if got, want := len(b.starts()), 6; got != want {
+		t.Errorf("starts of suspects on 6 workers in 2 s: got %d, want %d", got, want)
+	}
+}
+
 // A suspect that must wait must not hold up the other tasks of its job.
 func TestOtherTasksOfAJobDoNotWaitForItsSuspect(t *testing.T) {
 	b := newTestbed(t, 3)
