scheduler: Let the test of innocent tasks fail again without separation

Since a task is permitted three crashes, TestTaskBesideTwoDeadlyOnesIsNotGivenUp passed also when suspects were not kept apart: its tasks met two crashes. They now have two before the test begins, so the next one ends their jobs, as before.

With the separation removed on a scratch copy the test passed before this change and fails now: round 4: ends: got innocent4:failed, want three with innocent4 complete.

--- a/internal/scheduler/suspects_test.go
+++ b/internal/scheduler/suspects_test.go
@@ -15,6 +15,12 @@
 // crashOnce submits best-effort jobs of one task each and reports that the workers
 // crashed that started them.
 func (b *testbed) crashOnce(ids ...string) {
+	b.t.Helper()
+	b.crashTimes(1, ids...)
+}
+
+// crashTimes is crashOnce for tasks under which several workers have crashed.
+func (b *testbed) crashTimes(crashes int, ids ...string) {
 	b.t.Helper()
 	for _, id := range ids {
 		j := job(id, 1, true)
@@ -27,7 +33,12 @@
 		b.t.Fatalf("starts: got %d, want %d", len(starts), len(ids))
 	}
 	for _, s := range starts {
-		b.s.HandleReport(b.now, sidecar(s.at), &wire.TaskReport{SentAt: int64(b.now), Events: []*wire.TaskEvent{crashEvent(s.run, true)}, Load: &wire.WorkerLoad{}})
+		var events []*wire.TaskEvent
+		for range crashes {
+			events = append(events, crashEvent(s.run, true))
+			s.run.Attempt++
+		}
+		b.s.HandleReport(b.now, sidecar(s.at), &wire.TaskReport{SentAt: int64(b.now), Events: events, Load: &wire.WorkerLoad{}})
 	}
 }
 
@@ -42,14 +53,14 @@
 	b.report(a, events...)
 }
 
-// Two tasks that crash their workers took a third one with them that was beside the
-// first in one crash and beside the second in the next, and its job failed.
+// Two tasks that crash their workers took a third one with them that was beside one or
+// the other in each crash, and its job failed. One more crash ends the jobs here.
 func TestTaskBesideTwoDeadlyOnesIsNotGivenUp(t *testing.T) {
 	b := newTestbed(t, 6)
 	for round := range 30 {
 		n := strconv.Itoa(round)
 		innocent := batch.JobID("innocent" + n)
-		b.crashOnce("deadly-a"+n, "deadly-b"+n, string(innocent))
+		b.crashTimes(2, "deadly-a"+n, "deadly-b"+n, string(innocent))
 		ended := make(map[batch.JobID]string)
 		for range 10 {
 			b.advance(100)
