review: case 4, an entry starts tasks for a request that a partition held back

The script cuts off the whole machine for 1.43 s while a quarter of the callers leave early. It replaces the case on BUDGET, which stays in review/rig. The cancellation is case 5 now.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,4 +6,4 @@
 for program in review/bin/rig target/teaseltide-platform; do
 	[ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
-exec review/bin/rig budget "$here/record.txt"
+exec review/bin/rig lost-cancel "$here/record.txt"
--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand/v2"
+	"net"
 	"strings"
 	"sync"
 	"syscall"
@@ -445,3 +447,141 @@
 		}
 	}
 }
+
+// playHeldBack: an entry is cut off while a quarter of the callers leave early. It gets
+// their requests after the cut, when their jobs run at another entry.
+func playHeldBack(s *system, trouble bool) error {
+	const leaving, staying = 6, 18
+	var conns []net.Conn
+	for range leaving {
+		conn, err := net.Dial("tcp", s.address(1, 16))
+		if err != nil {
+			return err
+		}
+		conns = append(conns, conn)
+	}
+	time.Sleep(500 * time.Millisecond)
+	if trouble {
+		s.record.logf("fault  %s is cut off, callers leave early", s.entries[0].name)
+		s.isolated.shut()
+	}
+	var jobs []*job
+	var wg sync.WaitGroup
+	for _, conn := range conns {
+		j := newJob([]int64{900}, 4, 6200)
+		j.bestEffort = true
+		jobs = append(jobs, j)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			s.submitOn(conn, j, trouble)
+			if trouble {
+				time.Sleep(retransmit)
+				s.submit(s.entries[1], j)
+			}
+		}()
+	}
+	for i := range staying {
+		j := newJob([]int64{60}, 4, 6200)
+		j.bestEffort = true
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			s.submit(s.entries[1+i%2], j)
+		}()
+	}
+	time.Sleep(heldBackCut)
+	if trouble {
+		s.record.logf("fault  the cut ends")
+		s.isolated.reopen()
+	}
+	wg.Wait()
+	time.Sleep(3 * time.Second)
+	for _, j := range jobs {
+		for _, task := range j.tasks() {
+			s.checkTwice(task)
+		}
+	}
+	return nil
+}
+
+// heldBackCut is shorter than for_s of node_cut.
+const heldBackCut = 1430 * time.Millisecond
+
+// checkTwice applies the part of TWICE that holds for best-effort jobs.
+func (s *system) checkTwice(task string) {
+	runs := s.record.runsOf(task)
+	for i, a := range runs {
+		for _, b := range runs[i+1:] {
+			if both := min(sinceBegin(a.ended), sinceBegin(b.ended)) - max(sinceBegin(a.started), sinceBegin(b.started)); both > 0 {
+				s.record.breakf("TWICE: %s ran twice at the same time for %d ms, on %s and %s", task, both.Milliseconds(), a.worker, b.worker)
+			}
+		}
+	}
+}
+
+var begin = time.Now()
+
+// sinceBegin maps times to durations; the zero time is in the future.
+func sinceBegin(t time.Time) time.Duration {
+	if t.IsZero() {
+		return time.Hour
+	}
+	return t.Sub(begin)
+}
+
+// submitOn submits a job to the first entry on an open connection through its link. If
+// leaves is true, the caller closes the connection early, otherwise it waits for the
+// answer.
+func (s *system) submitOn(conn net.Conn, j *job, leaves bool) {
+	defer conn.Close()
+	body := j.body()
+	fmt.Fprintf(conn, "POST /load/%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s", j.id, hostName, callerDeadline, len(body), body)
+	if leaves {
+		s.record.logf("client POST /load/%s at %s: leaves after %s", j.id, s.entries[0].name, earlyLeave)
+		time.Sleep(earlyLeave)
+		return
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(callerDeadline * time.Millisecond))
+	answer := make([]byte, 512)
+	n, _ := conn.Read(answer)
+	line, _, _ := strings.Cut(string(answer[:n]), "\r\n")
+	s.record.logf("client POST /load/%s at %s: %s", j.id, s.entries[0].name, line)
+}
+
+const (
+	// retransmit is retransmit_ms.
+	retransmit = 1300 * time.Millisecond
+	// earlyLeave is when a caller that gives up leaves.
+	earlyLeave = 50 * time.Millisecond
+)
+
+// playLateStart: a start gets no answer; its worker crashes, starts again under its id and
+// carries the start out.
+func playLateStart(s *system, trouble bool) error {
+	jobs := []*job{newJob([]int64{9000}, 1, 6200)}
+	task := jobs[0].tasks()[0]
+	if trouble {
+		var once sync.Once
+		for _, w := range s.workers {
+			w.mu.Lock()
+			w.late = func(c call) bool {
+				isFirst := false
+				if c.Task == task {
+					once.Do(func() { isFirst = true })
+				}
+				if isFirst {
+					time.AfterFunc(time.Second, func() { w.rebirth(2 * time.Second) })
+				}
+				return isFirst
+			}
+			w.mu.Unlock()
+		}
+	}
+	if err := s.submitAll(s.entries[0], jobs, 0); err != nil {
+		return err
+	}
+	time.Sleep(12 * time.Second)
+	s.checkTwice(task)
+	return nil
+}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -21,23 +21,27 @@
 // scenario plays a case. The disruptions happen only if trouble is true.
 type scenario struct {
 	labelled int
-	play     func(s *system, trouble bool) error
+	// links is true if the first entry is behind links.
+	links bool
+	play  func(s *system, trouble bool) error
 }
 
 // maxPlay is how long a case may take.
 const maxPlay = 110 * time.Second
 
 var scenarios = map[string]scenario{
-	"lost-mark":    {0, playLostMark},
-	"blocked":      {0, playBlocked},
-	"lost-cancel":  {0, playLostCancel},
-	"orphan":       {0, playOrphan},
-	"failed-twice": {0, playFailedTwice},
-	"budget":       {0, playBudget},
-	"gone-worker":  {0, playGoneWorker},
-	"pending":      {1, playPending},
-	"dead-owner":   {0, playDeadOwner},
-	"crashes":      {0, playCrashes},
+	"lost-mark":    {play: playLostMark},
+	"blocked":      {play: playBlocked},
+	"lost-cancel":  {play: playLostCancel},
+	"orphan":       {play: playOrphan},
+	"failed-twice": {play: playFailedTwice},
+	"budget":       {play: playBudget},
+	"gone-worker":  {play: playGoneWorker},
+	"pending":      {labelled: 1, play: playPending},
+	"held-back":    {links: true, play: playHeldBack},
+	"late-start":   {play: playLateStart},
+	"dead-owner":   {play: playDeadOwner},
+	"crashes":      {play: playCrashes},
 }
 
 func main() {
@@ -60,7 +64,7 @@
 		return exitFailed
 	}
 	defer func() { _ = rec.file.Close() }()
-	s, err := newSystem(rec, c.labelled)
+	s, err := newSystem(rec, c)
 	if s != nil {
 		defer s.close()
 		go s.endEarly()
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -91,6 +93,32 @@
 	return s, nil
 }
 
+// viewKey is the context key of the addresses that a caller sees instead of others.
+type viewKey struct{}
+
+// serveAt also serves the store at an address, for one machine. In the values that the
+// machine reads, the addresses in view are replaced, so that it connects through links.
+func (s *store) serveAt(address string, view map[string]string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.server.Handler.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), viewKey{}, view)))
+	})
+	go func() { _ = (&http.Server{Handler: handler}).Serve(listener) }()
+	return nil
+}
+
+// seen returns an item as the caller of a request sees it.
+func (i item) seen(r *http.Request) item {
+	view, _ := r.Context().Value(viewKey{}).(map[string]string)
+	for address, other := range view {
+		i.Value = bytes.ReplaceAll(i.Value, []byte(`"`+address+`"`), []byte(`"`+other+`"`))
+	}
+	return i
+}
+
 func (s *store) answerTime() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -205,7 +233,7 @@
 	s.respond(w, http.StatusOK, struct {
 		item
 		AsOf int64 `json:"as_of"`
-	}{i, asOf})
+	}{i.seen(r), asOf})
 }
 
 func (s *store) list(w http.ResponseWriter, r *http.Request) {
@@ -220,7 +248,7 @@
 	slices.Sort(keys)
 	items := []item{}
 	for _, key := range keys[:min(len(keys), storePageSize)] {
-		items = append(items, s.items[key])
+		items = append(items, s.items[key].seen(r))
 	}
 	asOf := s.revision
 	s.mu.Unlock()
@@ -237,7 +265,7 @@
 		events := []item{}
 		for _, e := range s.events {
 			if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
-				events = append(events, e)
+				events = append(events, e.seen(r))
 			}
 		}
 		asOf, changed, busy := s.revision, s.changed, s.busy
--- a/review/rig/system.go
+++ b/review/rig/system.go
@@ -52,6 +52,8 @@
 	port     int
 	run      map[string][]string
 	closing  atomic.Bool
+	// isolated is the gate of the links of the first entry, if it is behind links.
+	isolated *gate
 }
 
 // process is one process of the project.
@@ -109,7 +111,7 @@
 	return "", 0, errors.New("no free ports")
 }
 
-func newSystem(rec *record, labelled int) (*system, error) {
+func newSystem(rec *record, c scenario) (*system, error) {
 	roles, err := readRoles()
 	if err != nil {
 		return nil, err
@@ -128,6 +130,11 @@
 	s.store.put("op/config", fmt.Sprintf(`{"version":7,"routes":[{"name":"load-check","host":%q,"prefix":"/load/","kind":"unsafe","timeout_ms":1500,`+
 		`"target_latency_ms":60,"priority":0,"service":%q,"max_attempts":%d,"slack_factor":1.6}],"services":[{"name":%q}],"limits":{}}`,
 		hostName, serviceName, maxAttempts, serviceName))
+	if c.links {
+		if err = s.isolateFirstEntry(); err != nil {
+			return s, err
+		}
+	}
 	for i := range 3 {
 		p, err := s.newProcess("edge", fmt.Sprintf("edge-%s-1", zones[i]), 1+i, zones[i])
 		if err != nil {
@@ -143,7 +150,7 @@
 		}
 		s.sidecars = append(s.sidecars, p)
 		labels := []string{"a", fmt.Sprintf("r%d", i/3)}
-		if i < labelled {
+		if i < c.labelled {
 			labels[0] = "b"
 		}
 		w, err := newWorker(fmt.Sprintf("i-%08x", rand.Uint32()), s.address(101+i, 5), s.address(101+i, 6), zone, 64000, labels, rec)
@@ -176,11 +183,49 @@
 	return s.subnet + strconv.Itoa(machine) + ":" + strconv.Itoa(s.port+port)
 }
 
+// linkDelay and callerDelay are the delays of a message between machines and from a
+// caller.
+const (
+	linkDelay   = 500 * time.Microsecond
+	callerDelay = 3 * time.Millisecond
+)
+
+// isolateFirstEntry puts the first entry behind links that its gate can cut: to the
+// callers, the store, the sidecars and the other entries.
+func (s *system) isolateFirstEntry() error {
+	s.isolated = newGate()
+	view, others := make(map[string]string), map[string]string{s.address(1, 10): s.address(1, 18)}
+	links := [][2]string{{s.address(1, 18), s.address(1, 10)}}
+	for i := range 11 {
+		real, through := s.address(101+i, 10), s.address(101+i, 18)
+		view[real] = through
+		links = append(links, [2]string{through, real})
+	}
+	if err := s.store.serveAt(s.address(1, 17), view); err != nil {
+		return err
+	}
+	links = append(links, [2]string{s.address(1, 8), s.address(1, 17)})
+	for _, l := range links {
+		if err := newLink(l[0], l[1], linkDelay, s.isolated); err != nil {
+			return err
+		}
+	}
+	for machine := 2; machine <= 3; machine++ {
+		if err := s.store.serveAt(s.address(machine, 8), others); err != nil {
+			return err
+		}
+	}
+	return newLink(s.address(1, 16), s.address(1, 1), callerDelay, s.isolated)
+}
+
 // newProcess writes the settings of a machine (DEPLOY.md).
 func (s *system) newProcess(class, name string, machine int, zone string) (*process, error) {
 	ip := s.subnet + strconv.Itoa(machine)
 	listen := fmt.Sprintf("frontend = %q\nready = %q\ncontrol_plane = %q\n", s.address(machine, 1), s.address(machine, 7), s.address(machine, 6))
-	app, memory := "", 284
+	app, memory, storeAddress := "", 284, s.store.address
+	if s.isolated != nil && class == "edge" {
+		storeAddress = s.address(machine, 8)
+	}
 	if class == "side" {
 		listen = fmt.Sprintf("control_plane = %q\n", s.address(machine, 6))
 		app, memory = fmt.Sprintf("app = %q\nservice = %q\n", s.address(machine, 5), serviceName), 152
@@ -230,7 +275,7 @@
 history_s = 20
 value_bytes = 1048576
 ttl_min_ms = 1000
-`, name, class, class, ip, zone, s.port+10, s.port+19, app, listen, memory, s.store.address)
+`, name, class, class, ip, zone, s.port+10, s.port+15, app, listen, memory, storeAddress)
 	settings := filepath.Join(s.dir, name+".toml")
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return nil, err
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"time"
 )
@@ -62,6 +63,10 @@
 	beats    int64
 	draining bool
 	changed  chan struct{}
+	// late decides whether a start gets no answer and is carried out when the worker has
+	// started again after a crash; overdue are such starts.
+	late    func(c call) bool
+	overdue []call
 }
 
 func newWorker(id, address, reportTo, zone string, cpu int64, labels []string, rec *record) (*worker, error) {
@@ -69,18 +74,22 @@
 		id: id, address: address, reportTo: reportTo, zone: zone, cpu: cpu, labels: labels, record: rec, stop: make(chan struct{}), born: time.Now(),
 		active: make(map[runKey]*activeRun), highest: make(map[string]int64), changed: make(chan struct{}),
 	}
+	w.server = &http.Server{Handler: w.handler()}
+	return w, w.up()
+}
+
+func (w *worker) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/run-start", w.start)
 	mux.HandleFunc("POST /api/run-stop", w.stopRun)
 	mux.HandleFunc("POST /api/hold", w.hold)
-	w.server = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != w.id {
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
 		mux.ServeHTTP(rw, r)
-	})}
-	return w, w.up()
+	})
 }
 
 // up makes the worker serve.
@@ -264,7 +273,19 @@
 		return
 	}
 	w.mu.Lock()
+	if w.late != nil && w.late(c) {
+		w.record.logf("fault  start of %s attempt %d at %s gets no answer", c.Task, c.Attempt, w.id)
+		w.overdue = append(w.overdue, c)
+		w.mu.Unlock()
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	defer w.mu.Unlock()
+	w.execute(rw, c)
+}
+
+// execute carries out a start. The caller holds the lock.
+func (w *worker) execute(rw http.ResponseWriter, c call) {
 	w.advance(time.Now())
 	if !w.admit(rw, c) {
 		return
@@ -357,3 +378,26 @@
 	}
 	respondJSON(rw, http.StatusOK, map[string]any{"clock_ms": w.clock(), "born": w.born.UnixMilli(), "running": running, "finished": finished})
 }
+
+// rebirth ends the worker and its runs; after a time it starts again under its id,
+// knows nothing of before and carries out the starts that are overdue.
+func (w *worker) rebirth(away time.Duration) {
+	w.record.logf("fault  worker %s crashes", w.id)
+	w.leave()
+	time.AfterFunc(away, func() {
+		next := &worker{
+			id: w.id, address: w.address, reportTo: w.reportTo, zone: w.zone, cpu: w.cpu, labels: w.labels, record: w.record, born: time.Now(),
+			active: make(map[runKey]*activeRun), highest: make(map[string]int64), changed: make(chan struct{}),
+		}
+		next.server = &http.Server{Handler: next.handler()}
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		if next.up() != nil {
+			return
+		}
+		w.record.logf("fault  worker %s starts again", next.id)
+		for _, c := range w.overdue {
+			next.execute(httptest.NewRecorder(), c)
+		}
+	})
+}
