--- a/review/rig/system.go
+++ b/review/rig/system.go
@@ -380,7 +380,7 @@
 }
 
 func newJob(ms []int64, count int, cpu int64) *job {
-	return &job{id: fmt.Sprintf("%016x", rand.Uint64()), spec: spec{Ms: ms}, count: count, cpu: cpu}
+	return &job{id: fmt.Sprintf("%016x", rand.Uint64()), spec: spec{Ms: ms, CPU: cpu}, count: count, cpu: cpu}
 }
 
 func (j *job) body() []byte {
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -25,6 +25,8 @@
 	Fail int `json:"fail"`
 	// FailMs is how long a run that fails takes, 0 for as long as others.
 	FailMs int64 `json:"fail_ms"`
+	// CPU is what a task requires, in millicores.
+	CPU int64 `json:"cpu"`
 }
 
 type runKey struct {
@@ -36,6 +38,7 @@
 	*run
 	length time.Duration
 	fails  bool
+	cpu    int64
 }
 
 type listedEnd struct {
@@ -62,7 +65,9 @@
 	sequence int64
 	beats    int64
 	draining bool
-	changed  chan struct{}
+	// gone is true once the worker has ended.
+	gone    bool
+	changed chan struct{}
 	// late decides whether a start gets no answer and is carried out when the worker has
 	// started again after a crash; overdue are such starts.
 	late    func(c call) bool
@@ -123,6 +128,7 @@
 	_ = w.server.Close()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.gone = true
 	for key, a := range w.active {
 		delete(w.active, key)
 		w.record.finished(a.run, "gone")
@@ -309,7 +315,7 @@
 	_ = json.Unmarshal([]byte(c.Spec), &s)
 	a := &activeRun{
 		run: &run{worker: w.id, task: c.Task, attempt: c.Attempt, started: time.Now()}, length: time.Duration(s.Ms[stepOf(c.Task)]) * time.Millisecond,
-		fails: len(w.record.runsOf(c.Task)) < s.Fail,
+		fails: len(w.record.runsOf(c.Task)) < s.Fail, cpu: s.CPU,
 	}
 	if a.fails && s.FailMs > 0 {
 		a.length = time.Duration(s.FailMs) * time.Millisecond
