scheduler: Begin a takeover from the mark in the store

Cause: the takeover was an action after the answer to the write, in Process.depose. The watch delivered the mark all the same, so that deposeMissing took the entry as succeeded and did not try again, and the scan of the owners skipped the jobs as the entry's own. Nobody read them.

ApplyFences now begins the takeover when a mark makes this entry the owner of the jobs, wherever the mark comes from, and depose only writes it. A lost answer makes no difference then: either the watch delivers the mark or the entry is deposed again. The mark of a predecessor that is written late, after its successor has been deposed in turn, had the same result and is covered.

--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -273,6 +273,8 @@
 		}
 	case scheduler.Depose:
 		go p.depose(c.Entry)
+	case scheduler.Recover:
+		go p.recover(c.Entry)
 	case scheduler.Decision:
 		p.recordDecision(c)
 	}
--- a/internal/entrynode/members.go
+++ b/internal/entrynode/members.go
@@ -125,30 +125,42 @@
 	return open.Jobs, nil
 }
 
-// depose takes over the jobs of an entry that is missing: it marks the entry as
-// deposed, after which no write of it takes effect in the store, and then reads
-// its open jobs and the sidecars that may run their tasks.
+// depose marks an entry that is missing as deposed, after which no write of it takes
+// effect in the store. Without an answer the mark may have been written: then the watch
+// delivers it, and otherwise the core deposes the entry again.
 func (p *Process) depose(entry ownership.Incarnation) {
 	err := jobstore.Depose(p.ctx, p.deps.Store, p.settings.Keys, entry, p.settings.Incarnation, p.deps.Directory.EntryKey(entry))
 	if err != nil {
-		p.deps.Log.Info("takeover not begun", zap.String("entry", string(entry)), zap.Error(err))
+		p.deps.Log.Info("deposition not confirmed", zap.String("entry", string(entry)), zap.Error(err))
 		return
 	}
 	p.deps.Log.Info("entry deposed", zap.String("entry", string(entry)))
 	fences := map[ownership.Incarnation]ownership.Incarnation{entry: p.settings.Incarnation}
 	p.push(func(clock.Millis) { p.core.ApplyFences(fences) })
+}
+
+// recoverRetryDelay is the delay between two attempts to read the jobs of a deposed
+// entry.
+const recoverRetryDelay = 200 * time.Millisecond
+
+// recover takes over the jobs of an entry that has been deposed.
+func (p *Process) recover(entry ownership.Incarnation) {
 	for p.ctx.Err() == nil {
-		if err = p.recoverJobs(entry); err == nil {
+		err := p.recoverJobs(entry)
+		if err == nil {
 			return
 		}
 		p.deps.Log.Info("takeover waits for the store", zap.String("entry", string(entry)), zap.Error(err))
 		select {
 		case <-p.ctx.Done():
-		case <-time.After(200 * time.Millisecond):
+		case <-time.After(recoverRetryDelay):
 		}
 	}
 }
 
+// recoverJobs reads the open jobs of the entries that this one succeeds and the
+// sidecars that may run their tasks. The marks are read before the jobs, so that they
+// include those of all owners of these records that were deposed before.
 func (p *Process) recoverJobs(entry ownership.Incarnation) error {
 	deposed, err := p.deps.Store.Range(p.ctx, platform.Prefix(p.settings.Keys.DeposedPrefix()), 0)
 	if err != nil {
--- a/internal/scheduler/members.go
+++ b/internal/scheduler/members.go
@@ -20,7 +20,8 @@
 	storeReturnGracePeriod = 2500 * clock.Millis(1)
 )
 
-// Depose marks a missing entry as deposed and reads its jobs for RecoverJobs.
+// Depose marks a missing entry as deposed in the store. Its jobs are recovered once
+// ApplyFences gets the mark.
 type Depose struct {
 	Entry ownership.Incarnation
 }
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -40,20 +40,39 @@
 	PreviousOwners int
 }
 
-// ApplyFences sets the deposed entries with their successors and sends new fences
-// to the sidecars.
+// Recover reads the open jobs of a deposed entry and the sidecars that may run their
+// tasks for RecoverJobs.
+type Recover struct {
+	Entry ownership.Incarnation
+}
+
+func (Recover) command() {}
+
+// ApplyFences sets the deposed entries with their successors, sends new fences to the
+// sidecars and begins the takeovers that fall to this entry. The marks in the store
+// decide that, because the answer to a write of a mark may be lost.
 func (s *Scheduler) ApplyFences(fences map[ownership.Incarnation]ownership.Incarnation) {
+	var added []ownership.Incarnation
 	for deposed, successor := range fences {
 		if s.successors[deposed] == successor {
 			continue
 		}
 		s.successors[deposed] = successor
+		added = append(added, deposed)
 		for _, n := range s.nodeList {
 			if n.connected {
 				n.orders().Fences = append(n.orders().Fences, &wire.FenceEntry{Deposed: string(deposed), Successor: string(successor)})
 			}
 		}
 	}
+	slices.Sort(added)
+	for _, deposed := range added {
+		// The mark of a predecessor may be written late, after its successor has been
+		// deposed in turn.
+		if owner, _ := s.successors.CurrentOwner(deposed); owner == s.settings.Self {
+			s.pendingCommands = append(s.pendingCommands, Recover{Entry: deposed})
+		}
+	}
 }
 
 // RecoverJobs begins the takeover of the jobs of an entry that this one has
