scheduler: Compare the open jobs in the store with those that are held

Cause: the write of the repeated request was in flight, so that RecoverJobs took the job for one that the entry holds. The write conflicted with the record, and the job was dropped as another entry's. The listings of open jobs were used only to find owners that are missing, so nothing noticed that the entry should hold it.

Reconcile now also compares each listing with the jobs that the entry holds, and recovers those that are its own as a successor but that it does not hold. It heals whatever was missed.

--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -73,9 +73,9 @@
 const (
 	// tickInterval is the time between two ticks in the absence of events.
 	tickInterval = 10 * time.Millisecond
-	// ownerScanInterval is the time between two scans for open jobs of entries that
-	// have ended: a write of such an entry may take effect seconds after its end.
-	ownerScanInterval = 10 * time.Second
+	// listingInterval is the longest time between two listings of the open jobs: a
+	// write of an entry that has ended may take effect seconds after its end.
+	listingInterval = 10 * time.Second
 	// writeRateShare is the fraction of the store's write rate that the entries
 	// use.
 	writeRateShare = 0.8
@@ -122,8 +122,8 @@
 	// unreadableJobs and unreadableMarks hold the records of open jobs and the marks
 	// of deposed entries that were logged as unreadable.
 	unreadableJobs, unreadableMarks platform.UnreadableValues
-	// ownerScans requests a scan of the owners of open jobs.
-	ownerScans chan struct{}
+	// listingRequests requests a listing of the open jobs.
+	listingRequests chan struct{}
 	// quiesced is closed when callers send no more requests in a planned stop.
 	quiesced chan struct{}
 }
@@ -135,7 +135,7 @@
 		core:            scheduler.New(s.Scheduler),
 		control:         control.New(d.Clock, d.Pauses),
 		dialTargets:     make(map[peer.Target]clock.Millis),
-		ownerScans:      make(chan struct{}, 1),
+		listingRequests: make(chan struct{}, 1),
 		quiesced:        make(chan struct{}),
 		entrySessions:   make(map[ownership.Incarnation]*peer.Session),
 		sidecarSessions: make(map[ownership.Incarnation]*peer.Session),
@@ -266,9 +266,9 @@
 		go p.lookUpRuns(c)
 	case scheduler.BroadcastNote:
 		p.broadcast(c.Note)
-	case scheduler.ScanOwners:
+	case scheduler.ListOpenJobs:
 		select {
-		case p.ownerScans <- struct{}{}:
+		case p.listingRequests <- struct{}{}:
 		default:
 		}
 	case scheduler.Depose:
--- a/internal/entrynode/members.go
+++ b/internal/entrynode/members.go
@@ -16,7 +16,7 @@
 )
 
 // startWatches registers the entry and watches the registrations, the deposed
-// entries and the owners of open jobs until ctx ends.
+// entries and the open jobs until ctx ends.
 func (p *Process) startWatches(ctx context.Context) {
 	registration := platform.EntryRegistration{Incarnation: p.settings.Incarnation, Domain: p.settings.Domain, PeerAddress: p.settings.Address}
 	go p.deps.Directory.KeepEntry(ctx, registration, func(registered bool) {
@@ -28,7 +28,7 @@
 		p.handleFences(kvs)
 		return nil
 	})
-	go p.watchOwners(ctx)
+	go p.watchOpenJobs(ctx)
 }
 
 // lapsedEntryRetention is how long the session with an entry is kept after its
@@ -81,38 +81,28 @@
 	p.push(func(clock.Millis) { p.core.ApplyFences(fences) })
 }
 
-// watchOwners scans the owners of open jobs periodically and on request.
-func (p *Process) watchOwners(ctx context.Context) {
-	ticker := time.NewTicker(ownerScanInterval)
+// watchOpenJobs lists the open jobs periodically and on request, for the core to compare
+// them with those that it holds.
+func (p *Process) watchOpenJobs(ctx context.Context) {
+	ticker := time.NewTicker(listingInterval)
 	defer ticker.Stop()
 	for {
-		p.scanOwners(ctx)
+		open, err := p.listOpenJobs(ctx)
+		if err != nil {
+			p.deps.Log.Info("listing open jobs failed", zap.Error(err))
+			p.push(p.core.HandleListingFailure)
+		} else {
+			p.push(func(now clock.Millis) { p.core.Reconcile(now, open) })
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-p.ownerScans:
+		case <-p.listingRequests:
 		case <-ticker.C:
 		}
 	}
 }
 
-func (p *Process) scanOwners(ctx context.Context) {
-	jobs, err := p.listOpenJobs(ctx)
-	if err != nil {
-		p.deps.Log.Info("listing open jobs failed", zap.Error(err))
-		return
-	}
-	seen := make(map[ownership.Incarnation]bool)
-	var owners []ownership.Incarnation
-	for _, j := range jobs {
-		if owner := ownership.Incarnation(j.Record.GetOwner()); !seen[owner] {
-			seen[owner] = true
-			owners = append(owners, owner)
-		}
-	}
-	p.push(func(now clock.Millis) { p.core.HandleOpenJobOwners(now, owners) })
-}
-
 // listOpenJobs lists the open jobs and logs each unreadable record once.
 func (p *Process) listOpenJobs(ctx context.Context) ([]scheduler.OpenJob, error) {
 	open, err := jobstore.ListOpen(ctx, p.deps.Store, p.settings.Keys)
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -152,7 +152,9 @@
 
 // OpenListing holds the records of open jobs.
 type OpenListing struct {
-	Jobs []scheduler.OpenJob
+	// Revision is that of the store at the beginning of the listing.
+	Revision platform.Revision
+	Jobs     []scheduler.OpenJob
 	// Unreadable holds the records that are malformed. Their jobs stay open.
 	Unreadable []platform.UnreadableValue
 }
@@ -193,7 +195,7 @@
 	if err != nil {
 		return OpenListing{}, &Error{Op: "list open jobs", Kind: Unavailable, Err: err}
 	}
-	open := OpenListing{Jobs: make([]scheduler.OpenJob, 0, len(listing.KeyValues))}
+	open := OpenListing{Revision: listing.Revision, Jobs: make([]scheduler.OpenJob, 0, len(listing.KeyValues))}
 	for _, kv := range listing.KeyValues {
 		job, err := decodeOpen(keys, kv)
 		if err == nil {
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -236,8 +236,12 @@
 		s.pendingCommands = append(s.pendingCommands, Decision{Summary: JobRefused, Job: j.ID, Route: j.Route, Reason: "store", Value: int64(storeRetryAfter)})
 		s.removeJob(j)
 	case SaveConflict:
-		// The caller's earlier request reached another entry.
+		// The caller's earlier request reached another entry. If this one succeeded that
+		// entry during the write, it did not recover the job.
 		s.removeJob(j)
+		if s.listings.isSuccessor {
+			s.requestListing()
+		}
 	}
 }
 
--- a/internal/scheduler/members.go
+++ b/internal/scheduler/members.go
@@ -26,12 +26,7 @@
 	Entry ownership.Incarnation
 }
 
-// ScanOwners reads the owners of open jobs for HandleOpenJobOwners, because an
-// entry is gone. Most entries hold no stored jobs and need no successor.
-type ScanOwners struct{}
-
-func (Depose) command()     {}
-func (ScanOwners) command() {}
+func (Depose) command() {}
 
 // membership is what an entry knows of the other entries.
 type membership struct {
@@ -48,7 +43,8 @@
 func (s *Scheduler) SetEntries(live []ownership.Incarnation) {
 	for _, id := range s.live {
 		if id != s.settings.Self && !slices.Contains(live, id) {
-			s.pendingCommands = append(s.pendingCommands, ScanOwners{})
+			// Most entries hold no stored jobs and need no successor.
+			s.requestListing()
 			break
 		}
 	}
@@ -57,15 +53,7 @@
 	s.entryCount = max(1, len(live))
 }
 
-// HandleOpenJobOwners marks those owners of open jobs as missing that are not
-// registered.
-func (s *Scheduler) HandleOpenJobOwners(now clock.Millis, owners []ownership.Incarnation) {
-	for _, id := range owners {
-		current, _ := s.successors.CurrentOwner(id)
-		s.noteMissing(now, current)
-	}
-}
-
+// noteMissing marks the owner of an open job as missing if it is not registered.
 func (s *Scheduler) noteMissing(now clock.Millis, id ownership.Incarnation) {
 	if id == s.settings.Self || slices.Contains(s.live, id) {
 		return
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -100,7 +100,8 @@
 	// drainBy is when a draining entry ends, 0 for one that is not draining.
 	drainBy clock.Millis
 	membership
-	nonce uint64
+	listings listings
+	nonce    uint64
 	// notedPending is true if the last note to the other entries had pending jobs.
 	notedPending bool
 	// pools holds the aggregate of each service's workers.
@@ -198,6 +199,7 @@
 	s.expireBestEffort(now)
 	s.completeTakeovers(now)
 	s.deposeMissing(now)
+	s.listIfDue(now)
 	s.placeTasks(now)
 	s.flushOrders(now)
 	if now >= s.sweepDueAt {
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -70,7 +70,7 @@
 		// The mark of a predecessor may be written late, after its successor has been
 		// deposed in turn.
 		if owner, _ := s.successors.CurrentOwner(deposed); owner == s.settings.Self {
-			s.pendingCommands = append(s.pendingCommands, Recover{Entry: deposed})
+			s.recover(deposed)
 		}
 	}
 }
@@ -80,6 +80,9 @@
 // unreadable is the number of further ones with unknown addresses.
 func (s *Scheduler) RecoverJobs(now clock.Millis, deposed ownership.Incarnation, jobs []OpenJob, sidecars []Address, unreadable int) {
 	s.counters.Takeovers++
+	if s.listings.recoveries[deposed] > 0 {
+		s.listings.recoveries[deposed]--
+	}
 	t := &takeover{
 		deposed: deposed, awaitingInventory: make(map[Address]bool), fenced: make(map[Address]bool),
 		awaitsSilence: unreadable > 0,
@@ -95,8 +98,10 @@
 		}
 	}
 	for _, o := range jobs {
-		// An earlier takeover may have ended the job after these records were read.
-		if _, ended := s.ended[o.ID]; ended || s.jobs[o.ID] != nil {
+		// An earlier takeover may have ended the job after these records were read. A
+		// job whose first write is in flight here comes again with the listing that the
+		// conflict of this write requests.
+		if s.knows(o.ID) {
 			continue
 		}
 		j := jobFromRecord(o)
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/scheduler"
+	"github.com/teaseltide/teaseltide/internal/wire"
+	"github.com/teaseltide/teaseltide/pkg/clock"
 )
 
 // recoveries returns the entries whose jobs the scheduler has asked for since the last
@@ -46,3 +48,43 @@
 		})
 	}
 }
+
+// Guards against jobs that nobody owns: a repeated request was being written while this
+// entry recovered the jobs of its predecessor, and the conflict of its write dropped it.
+func TestJobThatConflictsDuringATakeoverIsRecovered(t *testing.T) {
+	const dead = ownership.Incarnation("entry-z")
+	open := []scheduler.OpenJob{{ID: "j", Revision: 3, PreviousOwners: 1, Record: &wire.StoredJob{
+		Owner: string(dead), Service: "s", MaxFailures: 4, ObjectiveMs: 220, AcceptedAtMs: 1_000_000,
+		Steps: []*wire.StoredStep{{Count: 1, Cpu: 6000, MemoryMb: 10, EstimatedMs: 100}},
+	}}}
+	b := newTestbed(t, 1)
+	b.submit(job("j", 1, false))
+	b.s.ApplyFences(map[ownership.Incarnation]ownership.Incarnation{dead: self})
+	b.s.RecoverJobs(b.now, dead, open, []scheduler.Address{address(0)}, 0)
+	b.s.Reconcile(b.now, open)
+	b.tick()
+	if got := len(b.recoveries()); got != 1 {
+		t.Fatalf("takeovers while the write is in flight: got %d, want 1", got)
+	}
+	b.s.HandleSaveResult(b.now, "j", scheduler.SaveNew, scheduler.SaveConflict, 0)
+	b.advance(clock.Second)
+	if !slices.Contains(b.takeCommands(), scheduler.Command(scheduler.ListOpenJobs{})) {
+		t.Fatal("after the conflict: got no listing of the open jobs, want one")
+	}
+	for range 2 {
+		b.s.Reconcile(b.now, open)
+	}
+	if got, want := b.recoveries(), []ownership.Incarnation{dead}; !slices.Equal(got, want) {
+		t.Fatalf("takeovers after the listing: got %v, want %v", got, want)
+	}
+	b.s.RecoverJobs(b.now, dead, open, []scheduler.Address{address(0)}, 0)
+	b.tick()
+	b.send(address(0), &wire.TaskReport{Inventory: true, Fenced: []string{string(dead)}})
+	if got := b.onlyStart().run.Job; got != "j" {
+		t.Errorf("start: got one of %s, want one of j", got)
+	}
+	b.s.Reconcile(b.now, open)
+	if got := b.recoveries(); len(got) != 0 {
+		t.Errorf("takeovers of a job that is held: got %v, want none", got)
+	}
+}
