scheduler: Count a failed run once across takeovers

Cause: the record of an open job had the number of failures of each task only. An entry that was killed between that write and the acknowledgement of the ends left them at the sidecars, which list them to the new owner, and it counted them again.

The record now has the attempts of the failed runs, as it already had those of crashes, so that a new owner recognizes them. A record of an earlier version has only the number and is treated as before.

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -29,21 +29,9 @@
 // start again before it is: a successor would not count the crash.
 func (c *crashes) hasUnstoredCrash() bool { return len(c.crashedAttempts) > c.storedCrashes }
 
-// storedCrashedAttempts returns the attempts in the form of the store record.
-func (c *crashes) storedCrashedAttempts() []int64 {
-	var attempts []int64
-	for _, a := range c.crashedAttempts {
-		attempts = append(attempts, int64(a))
-	}
-	return attempts
-}
-
 func crashesFromRecord(t *wire.StoredTask) crashes {
-	c := crashes{storedCrashes: len(t.GetCrashedAttempts())}
-	for _, a := range t.GetCrashedAttempts() {
-		c.crashedAttempts = append(c.crashedAttempts, batch.Attempt(a))
-	}
-	return c
+	attempts := attemptsFromRecord(t.GetCrashedAttempts())
+	return crashes{crashedAttempts: attempts, storedCrashes: len(attempts)}
 }
 
 // recordCrash counts the crash of a worker under a run. The worker's health is not
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -493,11 +493,23 @@
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		t.crashesInWrite = len(t.crashedAttempts)
-		r.Tasks = append(r.Tasks, &wire.StoredTask{Done: t.state == taskDone, Failures: int32(t.failures), CrashedAttempts: t.storedCrashedAttempts()})
+		r.Tasks = append(r.Tasks, &wire.StoredTask{
+			Done: t.state == taskDone, Failures: int32(t.failures),
+			FailedAttempts: storedAttempts(t.failedAttempts), CrashedAttempts: storedAttempts(t.crashedAttempts),
+		})
 	}
 	return r
 }
 
+// storedAttempts returns attempts in the form of the store record.
+func storedAttempts(attempts []batch.Attempt) []int64 {
+	var stored []int64
+	for _, a := range attempts {
+		stored = append(stored, int64(a))
+	}
+	return stored
+}
+
 // enqueue counts a job's pending tasks that may start and inserts it into the
 // queue if there are any.
 func (s *Scheduler) enqueue(j *job) {
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -142,6 +142,7 @@
 			break
 		}
 		j.tasks[i].failures = int(t.GetFailures())
+		j.tasks[i].failedAttempts = attemptsFromRecord(t.GetFailedAttempts())
 		j.tasks[i].crashes = crashesFromRecord(t)
 		if t.GetDone() {
 			j.tasks[i].state = taskDone
@@ -152,6 +153,15 @@
 	return j
 }
 
+// attemptsFromRecord returns attempts of a task's store record.
+func attemptsFromRecord(stored []int64) []batch.Attempt {
+	attempts := make([]batch.Attempt, 0, len(stored))
+	for _, a := range stored {
+		attempts = append(attempts, batch.Attempt(a))
+	}
+	return attempts
+}
+
 // recordFenced records the fences that a sidecar has applied.
 func (s *Scheduler) recordFenced(now clock.Millis, n *node, r *wire.TaskReport) {
 	for _, t := range s.takeovers {
