scheduler: Drop jobs that another entry has ended in the store

Cause: only the entry whose own write cancelled the job told the others. It was killed after the write, and the entry that acknowledged the repeated request found the job cancelled and told nobody; a lost answer to the write had the same result without a kill. The owner then learned of it only from the conflict of its own next write. A note that arrived while the owner still read the jobs of its predecessor was dropped, and an entry that took a job over while it cancelled it told only the others.

An entry that finds a job cancelled also tells the others and itself.

--- a/internal/entrynode/callers.go
+++ b/internal/entrynode/callers.go
@@ -173,8 +173,10 @@
 // writes its progress.
 const cancelAttempts = 3
 
-// cancelElsewhere cancels a job of another entry in the store and notifies the
-// other entries, so that the owner stops its runs.
+// cancelElsewhere cancels a job of another entry in the store and notifies the other
+// entries, so that the owner stops its runs. It also does so for a job that it finds
+// cancelled: the entry that cancelled it may have ended before it told the owner, or the
+// answer to an attempt was lost.
 func (p *Process) cancelElsewhere(ctx context.Context, id batch.JobID) (bool, error) {
 	var err error
 	for range cancelAttempts {
@@ -185,6 +187,9 @@
 			return false, err
 		}
 		if open == nil {
+			if state == batch.Cancelled {
+				p.push(func(now clock.Millis) { p.core.RecordCancelledElsewhere(now, id) })
+			}
 			return state != batch.Absent, nil
 		}
 		end := &wire.StoredEnd{State: wire.StoredEnd_STATE_CANCELLED, EndedAtMs: int64(p.deps.Clock.Now()), Nonce: string(p.settings.Incarnation)}
--- a/internal/entrynode/members.go
+++ b/internal/entrynode/members.go
@@ -104,15 +104,15 @@
 }
 
 // listOpenJobs lists the open jobs and logs each unreadable record once.
-func (p *Process) listOpenJobs(ctx context.Context) ([]scheduler.OpenJob, error) {
+func (p *Process) listOpenJobs(ctx context.Context) (scheduler.OpenJobs, error) {
 	open, err := jobstore.ListOpen(ctx, p.deps.Store, p.settings.Keys)
 	if err != nil {
-		return nil, err
+		return scheduler.OpenJobs{}, err
 	}
 	for _, v := range p.unreadableJobs.Update(open.Unreadable) {
 		p.deps.Log.Warn("open job not readable", zap.Error(v.Err))
 	}
-	return open.Jobs, nil
+	return open.OpenJobs, nil
 }
 
 // depose marks an entry that is missing as deposed, after which no write of it takes
@@ -156,7 +156,7 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	jobs, err := p.listOpenJobs(p.ctx)
+	open, err := p.listOpenJobs(p.ctx)
 	if err != nil {
 		return err
 	}
@@ -171,7 +171,7 @@
 	fences, _ := p.settings.Keys.DecodeDeposed(deposed.KeyValues)
 	p.push(func(now clock.Millis) {
 		p.core.ApplyFences(fences)
-		p.core.RecoverJobs(now, entry, p.takenOverJobs(jobs), addresses, len(sidecars.Unreadable))
+		p.core.RecoverJobs(now, entry, p.takenOverJobs(open.Jobs), addresses, len(sidecars.Unreadable))
 	})
 	return nil
 }
--- a/internal/jobstore/jobstore.go
+++ b/internal/jobstore/jobstore.go
@@ -146,15 +146,18 @@
 		return nil, &Error{Op: "read open job", Kind: Malformed, Key: kv.Key, Err: err}
 	}
 	return &scheduler.OpenJob{
-		ID: batch.JobID(strings.TrimPrefix(kv.Key, keys.OpenPrefix())), Revision: int64(kv.ModRevision), Record: &record,
+		ID: jobOf(keys, kv), Revision: int64(kv.ModRevision), Record: &record,
 	}, nil
 }
 
+// jobOf returns the job of an open record.
+func jobOf(keys Keys, kv platform.KeyValue) batch.JobID {
+	return batch.JobID(strings.TrimPrefix(kv.Key, keys.OpenPrefix()))
+}
+
 // OpenListing holds the records of open jobs.
 type OpenListing struct {
-	// Revision is that of the store at the beginning of the listing.
-	Revision platform.Revision
-	Jobs     []scheduler.OpenJob
+	scheduler.OpenJobs
 	// Unreadable holds the records that are malformed. Their jobs stay open.
 	Unreadable []platform.UnreadableValue
 }
@@ -195,7 +198,7 @@
 	if err != nil {
 		return OpenListing{}, &Error{Op: "list open jobs", Kind: Unavailable, Err: err}
 	}
-	open := OpenListing{Revision: listing.Revision, Jobs: make([]scheduler.OpenJob, 0, len(listing.KeyValues))}
+	open := OpenListing{OpenJobs: scheduler.OpenJobs{Revision: int64(listing.Revision), Jobs: make([]scheduler.OpenJob, 0, len(listing.KeyValues))}}
 	for _, kv := range listing.KeyValues {
 		job, err := decodeOpen(keys, kv)
 		if err == nil {
@@ -203,6 +206,7 @@
 		}
 		if err != nil {
 			open.Unreadable = append(open.Unreadable, platform.UnreadableValue{KeyValue: kv, Err: err})
+			open.Malformed = append(open.Malformed, jobOf(keys, kv))
 			continue
 		}
 		open.Jobs = append(open.Jobs, *job)
--- a/internal/scheduler/cancellations.go
+++ b/internal/scheduler/cancellations.go
@@ -14,16 +14,20 @@
 // on the users' platform, orders no starts of stored jobs.
 const cancellationNoteDuration = 10 * clock.Second
 
-// notedCancellation is a job of another entry that this one has cancelled in the
-// store.
+// notedCancellation is a job of another entry that is cancelled in the store.
 type notedCancellation struct {
 	id    batch.JobID
 	until clock.Millis
 }
 
-// RecordCancelledElsewhere records that this entry has cancelled a job that it doesn't
-// hold in the store, and tells the other entries, of which one may own the job.
+// RecordCancelledElsewhere records that the store has a job as cancelled that this entry
+// did not hold, and tells the other entries, of which one may own the job. This entry may
+// have taken it over meanwhile.
 func (s *Scheduler) RecordCancelledElsewhere(now clock.Millis, id batch.JobID) {
+	s.jobCancelledByPeer(now, id)
+	if slices.ContainsFunc(s.notedCancellations, func(c notedCancellation) bool { return c.id == id }) {
+		return
+	}
 	s.notedCancellations = append(s.notedCancellations, notedCancellation{id, now + cancellationNoteDuration})
 	s.sendCancellations([]string{string(id)})
 }
--- a/internal/scheduler/cancellations_test.go
+++ b/internal/scheduler/cancellations_test.go
@@ -77,3 +77,19 @@
 		t.Errorf("notes more than 10 s after the cancellation: got %d, want none", got)
 	}
 }
+
+// Guards against starts of a cancelled job at the entry that cancelled it: it took the
+// job over between the look-up of the job and the write of the cancellation.
+func TestCancellationOfAJobTakenOverMeanwhile(t *testing.T) {
+	b := newTestbed(t, 1)
+	b.submit(job("j", 1, false))
+	b.save(scheduler.SaveDone)
+	b.s.RecordCancelledElsewhere(b.now, "j")
+	b.tick()
+	if got := b.s.OpenJobs(); got != 0 {
+		t.Errorf("open jobs: got %d, want 0", got)
+	}
+	if got, _ := b.s.Status("j"); got != batch.Cancelled {
+		t.Errorf("state: got %v, want %v", got, batch.Cancelled)
+	}
+}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -32,6 +32,9 @@
 	nonce     string
 	nextNonce string
 	inFlight  inFlightWrite
+	// confirmedAt is when a write or a listing last showed that the record is open, 0
+	// for a job that was taken over.
+	confirmedAt clock.Millis
 	// recovering is true until the sidecars have listed their runs of a job that was
 	// taken over.
 	recovering bool
@@ -191,6 +194,7 @@
 	if result == SaveDone {
 		j.revision = revision
 		j.nonce = j.nextNonce
+		j.confirmedAt = now
 		s.acknowledgeStoredEnds(j)
 		j.markCrashesStored()
 	}
@@ -199,7 +203,7 @@
 		s.handleNewJobSaved(now, j, result)
 	case SaveProgress:
 		if result == SaveConflict {
-			s.relinquish(j)
+			s.relinquish(j, "another entry changed its record")
 			return
 		}
 	case SaveEnd:
@@ -251,7 +255,7 @@
 
 func (s *Scheduler) handleEndSaved(now clock.Millis, j *job, result SaveResult) {
 	if result == SaveConflict {
-		s.relinquish(j)
+		s.relinquish(j, "another entry changed its record")
 		return
 	}
 	s.recordEnd(now, j)
@@ -275,8 +279,8 @@
 }
 
 // relinquish removes a job that another entry has taken over, ended or cancelled.
-func (s *Scheduler) relinquish(j *job) {
-	s.pendingCommands = append(s.pendingCommands, Decision{Summary: "job dropped", Job: j.ID, Reason: "another entry changed its record"})
+func (s *Scheduler) relinquish(j *job, reason string) {
+	s.pendingCommands = append(s.pendingCommands, Decision{Summary: "job dropped", Job: j.ID, Reason: reason})
 	s.releaseJobRuns(j)
 	s.removeJob(j)
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -222,6 +222,9 @@
 func (s *Scheduler) sweep(now clock.Millis) {
 	for _, j := range s.jobs {
 		s.saveProgress(now, j)
+		if j.needsConfirmation(now) {
+			s.requestListing()
+		}
 	}
 	for len(s.endedOrder) > 0 {
 		id := s.endedOrder[0]
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -692,7 +692,7 @@
 	b.s.SetStoreFailing(b.now, true)
 	b.advance(3000)
 	b.s.SetStoreFailing(b.now, false)
-	b.s.Reconcile(b.now, []scheduler.OpenJob{{ID: "j", Revision: 3, Record: &wire.StoredJob{Owner: string(other)}}})
+	b.s.Reconcile(b.now, scheduler.OpenJobs{Revision: 3, Jobs: []scheduler.OpenJob{{ID: "j", Revision: 3, Record: &wire.StoredJob{Owner: string(other)}}}})
 	b.advance(2000)
 	if deposed(b) {
 		t.Error("an entry was deposed within 2 s after the store outage")
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -61,7 +61,7 @@
 	b.submit(job("j", 1, false))
 	b.s.ApplyFences(map[ownership.Incarnation]ownership.Incarnation{dead: self})
 	b.s.RecoverJobs(b.now, dead, open, []scheduler.Address{address(0)}, 0)
-	b.s.Reconcile(b.now, open)
+	b.s.Reconcile(b.now, scheduler.OpenJobs{Revision: 5, Jobs: open})
 	b.tick()
 	if got := len(b.recoveries()); got != 1 {
 		t.Fatalf("takeovers while the write is in flight: got %d, want 1", got)
@@ -72,7 +72,7 @@
 		t.Fatal("after the conflict: got no listing of the open jobs, want one")
 	}
 	for range 2 {
-		b.s.Reconcile(b.now, open)
+		b.s.Reconcile(b.now, scheduler.OpenJobs{Revision: 5, Jobs: open})
 	}
 	if got, want := b.recoveries(), []ownership.Incarnation{dead}; !slices.Equal(got, want) {
 		t.Fatalf("takeovers after the listing: got %v, want %v", got, want)
@@ -83,7 +83,7 @@
 	if got := b.onlyStart().run.Job; got != "j" {
 		t.Errorf("start: got one of %s, want one of j", got)
 	}
-	b.s.Reconcile(b.now, open)
+	b.s.Reconcile(b.now, scheduler.OpenJobs{Revision: 5, Jobs: open})
 	if got := b.recoveries(); len(got) != 0 {
 		t.Errorf("takeovers of a job that is held: got %v, want none", got)
 	}
