scheduler: Await the fences of all owners of a takeover's jobs

A task of a stored job could start while it ran, or after a run of it was done, if two entries were deposed at one time.

Cause: a takeover gets the jobs of all entries that this one succeeds, but waited for the fence of the entry that it was begun for only. Until a sidecar has fenced the owner of a job, its inventory lacks the runs of that job, so the tasks counted as not started.

A takeover now sends the fences of all owners of its jobs, through all successors, and waits for the inventories after all of them.

Without the change TestTakeoverOfTwoEntriesAwaitsBothFences: "starts before the fence of the job's owner: got [{w0 {{j 0 0 0} 1001}}], want none".

--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -18,10 +18,13 @@
 type takeover struct {
 	deposed ownership.Incarnation
 	jobs    []batch.JobID
+	// owners holds the deposed entry and all others that owned one of the jobs. The
+	// jobs may be those of several entries that were deposed at one time.
+	owners []ownership.Incarnation
 	// awaitingInventory holds the sidecars that have not listed their runs since
-	// they fenced the deposed entry.
+	// they fenced all owners; fenced holds those that each has fenced.
 	awaitingInventory map[Address]bool
-	fenced            map[Address]bool
+	fenced            map[Address][]ownership.Incarnation
 	// awaitsSilence is true if a sidecar with an unknown address may run tasks. Its
 	// inventory cannot be attributed to it, so the takeover lasts until silentUntil.
 	awaitsSilence bool
@@ -84,19 +87,14 @@
 		s.listings.recoveries[deposed]--
 	}
 	t := &takeover{
-		deposed: deposed, awaitingInventory: make(map[Address]bool), fenced: make(map[Address]bool),
+		deposed: deposed, owners: []ownership.Incarnation{deposed},
+		awaitingInventory: make(map[Address]bool), fenced: make(map[Address][]ownership.Incarnation),
 		awaitsSilence: unreadable > 0,
 		begunAt:       now, silentUntil: now + s.settings.StoreContactTimeout + s.settings.GrantDuration,
 	}
 	for _, a := range sidecars {
 		t.awaitingInventory[a] = true
 	}
-	for _, n := range s.nodeList {
-		if n.connected {
-			t.awaitingInventory[n.address] = true
-			n.orders().Fences = append(n.orders().Fences, &wire.FenceEntry{Deposed: string(deposed), Successor: string(s.settings.Self)})
-		}
-	}
 	for _, o := range jobs {
 		// An earlier takeover may have ended the job after these records were read. A
 		// job whose first write is in flight here comes again with the listing that the
@@ -109,11 +107,33 @@
 		s.jobs[o.ID] = j
 		s.stored++
 		t.jobs = append(t.jobs, o.ID)
+		s.addOwners(t, ownership.Incarnation(o.Record.GetOwner()))
+	}
+	for _, n := range s.nodeList {
+		if n.connected {
+			t.awaitingInventory[n.address] = true
+			for _, owner := range t.owners {
+				n.orders().Fences = append(n.orders().Fences, &wire.FenceEntry{Deposed: string(owner), Successor: string(s.successors[owner])})
+			}
+		}
 	}
 	s.takeovers = append(s.takeovers, t)
 	s.pendingCommands = append(s.pendingCommands, Decision{Summary: "takeover began", Reason: string(deposed), Value: int64(len(t.jobs))})
 }
 
+// addOwners adds the owner in the record of a job and its successors before this entry.
+func (s *Scheduler) addOwners(t *takeover, owner ownership.Incarnation) {
+	for range len(s.successors) {
+		if owner == s.settings.Self || owner == "" {
+			return
+		}
+		if !slices.Contains(t.owners, owner) {
+			t.owners = append(t.owners, owner)
+		}
+		owner = s.successors[owner]
+	}
+}
+
 // jobFromRecord returns the job of a store record, in recovery.
 func jobFromRecord(o OpenJob) *job {
 	r := o.Record
@@ -165,10 +185,12 @@
 // recordFenced records the fences that a sidecar has applied.
 func (s *Scheduler) recordFenced(now clock.Millis, n *node, r *wire.TaskReport) {
 	for _, t := range s.takeovers {
-		if slices.Contains(r.GetFenced(), string(t.deposed)) {
-			t.fenced[n.address] = true
+		for _, owner := range t.owners {
+			if slices.Contains(r.GetFenced(), string(owner)) && !slices.Contains(t.fenced[n.address], owner) {
+				t.fenced[n.address] = append(t.fenced[n.address], owner)
+			}
 		}
-		if t.fenced[n.address] && r.GetInventory() {
+		if len(t.fenced[n.address]) == len(t.owners) && r.GetInventory() {
 			delete(t.awaitingInventory, n.address)
 		}
 	}
--- a/internal/scheduler/takeover_test.go
+++ b/internal/scheduler/takeover_test.go
@@ -88,3 +88,26 @@
 		t.Errorf("takeovers of a job that is held: got %v, want none", got)
 	}
 }
+
+// Guards against two runs of a task: of two entries that were deposed at one time, the
+// jobs of both came with the takeover of one, and started again once the sidecars had
+// fenced only that one and listed the runs of its jobs.
+func TestTakeoverOfTwoEntriesAwaitsBothFences(t *testing.T) {
+	const first, second = ownership.Incarnation("entry-y"), ownership.Incarnation("entry-z")
+	open := []scheduler.OpenJob{{ID: "j", Revision: 3, PreviousOwners: 1, Record: &wire.StoredJob{
+		Owner: string(second), Service: "s", MaxFailures: 4, ObjectiveMs: 220, AcceptedAtMs: 1_000_000,
+		Steps: []*wire.StoredStep{{Count: 1, Cpu: 6000, MemoryMb: 10, EstimatedMs: 100}},
+	}}}
+	b := newTestbed(t, 1)
+	b.s.ApplyFences(map[ownership.Incarnation]ownership.Incarnation{first: self, second: self})
+	b.s.RecoverJobs(b.now, first, open, []scheduler.Address{address(0)}, 0)
+	b.tick()
+	b.send(address(0), &wire.TaskReport{Inventory: true, Fenced: []string{string(first)}})
+	if got := b.starts(); len(got) != 0 {
+		t.Errorf("starts before the fence of the job's owner: got %v, want none", got)
+	}
+	b.send(address(0), &wire.TaskReport{Inventory: true, Fenced: []string{string(second)}})
+	if got := b.onlyStart().run.Job; got != "j" {
+		t.Errorf("start: got one of %s, want one of j", got)
+	}
+}
