scheduler: Adopt an unclaimed run instead of taking it for active

Stored jobs could stay open without a run, and ends could be acknowledged before they were in the store, so that a task ran again after its entry was killed. Found by generated schedules on the cores, with sidecars that restart.

Cause: a sidecar names the runs that no entry has claimed without their states, and the entry handled each as active, also one whose end came in the same report. If the task was done, the run was released at once; otherwise the task was bound to a run that was over, of which no event comes any more.

The owner of the job now adopts the run, and a sidecar reports the state of a stored run when it is adopted.

--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -159,9 +159,12 @@
 			x.watch(from, r)
 		}
 		return
-	case r.owner == "" && r.phase == ended && s.GetBestEffort():
+	case r.owner == "" && r.phase == ended:
 		// The end had no entry to be reported to.
 		x.watch(from, r)
+	case r.owner == "" && !s.GetBestEffort():
+		// The entry may know only that the run is unclaimed.
+		x.addEventFor(from, r, wire.TaskEvent_STATE_RUNNING)
 	}
 	if r.owner == "" && !r.sizeKnown && r.phase != ended {
 		x.unsizedRuns--
--- a/internal/executor/owners_test.go
+++ b/internal/executor/owners_test.go
@@ -110,3 +110,30 @@
 		})
 	}
 }
+
+// Guards against an entry that learns only that a run of its stored job is unclaimed, and
+// never that the run has ended: the adoption of the run tells its state.
+func TestAdoptedRunOfAStoredJobIsReported(t *testing.T) {
+	id := runID("j")
+	for name, tt := range map[string]struct {
+		running []executor.ListedRun
+		ended   []executor.ListedEnd
+		want    wire.TaskEvent_State
+	}{
+		"active": {running: []executor.ListedRun{{Run: id}}, want: wire.TaskEvent_STATE_RUNNING},
+		"done":   {ended: []executor.ListedEnd{{Sequence: 1, Run: id, End: batch.OutcomeDone}}, want: wire.TaskEvent_STATE_DONE},
+		"failed": {ended: []executor.ListedEnd{{Sequence: 1, Run: id, End: batch.OutcomeFailed}}, want: wire.TaskEvent_STATE_FAILED},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.list(firstToken, 1, tt.running, tt.ended)
+			h.tick()
+			h.take()
+			h.x.OrdersReceived(h.now, entryA, &wire.TaskOrders{GrantedFrom: int64(h.now), Adopts: []*wire.TaskStart{start(id, 6000, false)}})
+			h.advance(20)
+			if got, ok := h.states(entryA)[id]; !ok || got != tt.want {
+				t.Errorf("state after the adoption: got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -217,7 +217,7 @@
 		}
 	}
 	for _, id := range r.GetUnclaimed() {
-		s.handleEvent(now, n, &wire.TaskEvent{Run: id, State: wire.TaskEvent_STATE_RUNNING})
+		s.handleUnclaimed(now, n, batch.RunIDFromWire(id))
 	}
 	s.recordFenced(now, n, r)
 	if len(n.pendingLookups) > 0 {
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -237,6 +237,19 @@
 	}
 }
 
+// handleUnclaimed handles a run that no entry has claimed. A run of a stored job of this
+// entry is adopted: it may have ended, and the sidecar then reports its state. Its end
+// must not be acknowledged before it is in the store.
+func (s *Scheduler) handleUnclaimed(now clock.Millis, n *node, id batch.RunID) {
+	if j := s.jobs[id.Job]; j != nil && !j.BestEffort && j.inFlight != newJobWrite {
+		if t := j.findTask(id.TaskID); t != nil {
+			n.orders().Adopts = append(n.orders().Adopts, s.adoptOrder(j, t, id))
+			return
+		}
+	}
+	s.handleEvent(now, n, &wire.TaskEvent{Run: id.Wire(), State: wire.TaskEvent_STATE_RUNNING})
+}
+
 // handleUnknownJob handles an event of a run whose job this entry does not hold:
 // it releases the run or looks its job up in the store.
 func (s *Scheduler) handleUnknownJob(n *node, id batch.RunID, e *wire.TaskEvent) {
