scheduler: Release runs of jobs that end while nobody holds them

The end of a run could stay unacknowledged for ever, and with it all later ends of its worker; tasks that had failed there were ordered and refused there without end.

Cause: an entry looks up the job of a run that it does not hold once. If the job was open, or the look-up failed, nothing asked again, although the job may end without being held: it was cancelled while its takeover was delayed by a repeated request.

Such runs are now compared with each listing of the open jobs, and request one. Those whose jobs are not listed are released, those that this entry is yet to take over are kept, and the others have an owner.

TestRunsOfJobsThatEndElsewhereAreReleased guards it; the calls that it makes did not exist before.

--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -292,24 +292,28 @@
 // lookUpRuns looks up the jobs of a sidecar's runs in the store and releases the
 // runs whose jobs are no longer open.
 func (p *Process) lookUpRuns(c scheduler.Lookup) {
-	open := make(map[batch.JobID]bool)
-	var closedRuns []batch.RunID
+	isOpen := make(map[batch.JobID]bool)
+	var closed, unresolved []batch.RunID
 	for _, id := range c.Runs {
-		isOpen, known := open[id.Job]
+		open, known := isOpen[id.Job]
 		if !known {
 			state, _, err := jobstore.ReadState(p.ctx, p.deps.Store, p.settings.Keys, id.Job)
 			if err != nil {
 				p.deps.Log.Info("job lookup failed", zap.String("job", string(id.Job)), zap.Error(err))
-				return
 			}
-			isOpen = state == batch.Active
-			open[id.Job] = isOpen
+			open = err != nil || state == batch.Active
+			isOpen[id.Job] = open
 		}
-		if !isOpen {
-			closedRuns = append(closedRuns, id)
+		if open {
+			unresolved = append(unresolved, id)
+		} else {
+			closed = append(closed, id)
 		}
 	}
-	if address, ok := p.addresses.Load(c.Sidecar); ok && len(closedRuns) > 0 {
-		p.push(func(clock.Millis) { p.core.ReleaseRuns(address.(scheduler.Address), closedRuns) })
+	if address, ok := p.addresses.Load(c.Sidecar); ok {
+		p.push(func(now clock.Millis) {
+			p.core.ReleaseRuns(address.(scheduler.Address), closed)
+			p.core.RecordUnresolvedRuns(now, address.(scheduler.Address), unresolved)
+		})
 	}
 }
--- a/internal/entrynode/members.go
+++ b/internal/entrynode/members.go
@@ -105,6 +105,7 @@
 
 // listOpenJobs lists the open jobs and logs each unreadable record once.
 func (p *Process) listOpenJobs(ctx context.Context) (scheduler.OpenJobs, error) {
+	readAt := p.deps.Clock.Now()
 	open, err := jobstore.ListOpen(ctx, p.deps.Store, p.settings.Keys)
 	if err != nil {
 		return scheduler.OpenJobs{}, err
@@ -112,6 +113,7 @@
 	for _, v := range p.unreadableJobs.Update(open.Unreadable) {
 		p.deps.Log.Warn("open job not readable", zap.Error(v.Err))
 	}
+	open.ReadAt = readAt
 	return open.OpenJobs, nil
 }
 
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -74,6 +74,7 @@
 	sentDemand     int32
 	sentDemandAt   clock.Millis
 	pendingLookups []batch.RunID
+	unresolved     []unresolvedRun
 	// lastService and lastServiceCPU are the service and the CPU of the worker when
 	// it last took tasks, at lastServiceAt.
 	lastService    string
@@ -170,6 +171,7 @@
 	n.unacknowledgedStarts = nil
 	n.load = nil
 	n.pendingOrders = nil
+	n.unresolved = nil
 	n.offered = false
 	n.sentDemand = 0
 	for _, b := range n.runs {
--- a/internal/scheduler/reconcile_test.go
+++ b/internal/scheduler/reconcile_test.go
@@ -1,9 +1,11 @@
 package scheduler_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
+	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/scheduler"
 	"github.com/teaseltide/teaseltide/internal/wire"
 	"github.com/teaseltide/teaseltide/pkg/clock"
@@ -108,3 +110,40 @@
 		t.Errorf("listings after one that failed: got %d, want 1", got)
 	}
 }
+
+// Guards against an end that is never acknowledged, and with it all ends behind it at its
+// worker: its job was open when its run was looked up, or the look-up failed, and ended
+// without being held by this entry.
+func TestRunsOfJobsThatEndElsewhereAreReleased(t *testing.T) {
+	run := batch.RunID{TaskID: batch.TaskID{Job: "j"}, Attempt: 1}
+	released := func(b *testbed) bool {
+		b.tick()
+		for _, o := range b.sent[address(0)] {
+			if slices.ContainsFunc(o.GetReleases(), func(r *wire.TaskRun) bool { return batch.RunIDFromWire(r) == run }) {
+				return true
+			}
+		}
+		return false
+	}
+	b := newTestbed(t, 1)
+	b.advance(clock.Second)
+	b.s.RecordUnresolvedRuns(b.now, address(0), []batch.RunID{run})
+	b.s.Reconcile(b.now, scheduler.OpenJobs{Revision: 9, ReadAt: b.now - 1})
+	if released(b) {
+		t.Error("released on a listing that began before the run was recorded")
+	}
+	b.advance(1100)
+	if !slices.Contains(b.takeCommands(), scheduler.Command(scheduler.ListOpenJobs{})) {
+		t.Error("got no listing of the open jobs, want one")
+	}
+	b.s.ApplyFences(map[ownership.Incarnation]ownership.Incarnation{"entry-z": self})
+	open := []scheduler.OpenJob{{ID: "j", Revision: 3, Record: &wire.StoredJob{Owner: "entry-z"}}}
+	b.s.Reconcile(b.now, scheduler.OpenJobs{Revision: 9, ReadAt: b.now, Jobs: open})
+	if released(b) {
+		t.Error("released while its job is open")
+	}
+	b.s.Reconcile(b.now, scheduler.OpenJobs{Revision: 10, ReadAt: b.now})
+	if !released(b) {
+		t.Error("not released after its job has ended")
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -226,6 +226,9 @@
 			s.requestListing()
 		}
 	}
+	if s.hasUnresolvedRuns() && now-s.listings.requestedAt >= confirmationInterval {
+		s.requestListing()
+	}
 	for len(s.endedOrder) > 0 {
 		id := s.endedOrder[0]
 		keep := s.settings.EndedRetention
@@ -315,7 +318,7 @@
 }
 
 // Lookup asks the store whether the jobs of runs are open; the runs of those that
-// are not are passed to ReleaseRuns.
+// are not are passed to ReleaseRuns, the others to RecordUnresolvedRuns.
 type Lookup struct {
 	Sidecar ownership.Incarnation
 	Runs    []batch.RunID
