entrynode: Look a stored job up before it is refused

A caller that lost the answer to its submission was told 503, which says that the job never runs, by an entry without a worker for it, overloaded or draining, while the job ran at another entry. Found by generated schedules on the cores.

Cause: admission was checked before anything asked whether the store has the job.

An entry now looks a stored job up before it refuses it: it answers 200 if the store has the job and makes no statement if the look-up fails. While the store fails all calls, it refuses without a look-up as before, since nothing new could be stored; such a refusal may still concern an accepted job.

--- a/internal/entrynode/callers.go
+++ b/internal/entrynode/callers.go
@@ -117,9 +117,30 @@
 		p.recordCallerLeft(ctx.Err(), job.ID, p.deps.Clock.Now()-submittedAt)
 		p.push(func(now clock.Millis) { p.core.CallerDisconnected(now, reply.Request, job.ID) })
 	}
+	if !job.BestEffort && reply.Result == scheduler.NotStored {
+		return p.confirmRefusal(ctx, job.ID, reply)
+	}
 	return reply
 }
 
+// confirmRefusal looks a stored job up that this entry refuses: its caller may have lost
+// the answer of another entry that accepted it, and must not be told that the job never
+// runs. While the store fails all calls, the refusal does not wait for them.
+func (p *Process) confirmRefusal(ctx context.Context, id batch.JobID, refusal scheduler.Reply) scheduler.Reply {
+	if p.deps.StoreHealth.Failing(p.deps.Clock.Now()) {
+		return refusal
+	}
+	state, _, err := jobstore.ReadState(ctx, p.deps.Store, p.settings.Keys, id)
+	switch {
+	case err != nil:
+		p.deps.Log.Info("refusal not confirmed", zap.String("job", string(id)), zap.Error(err))
+		return scheduler.Reply{Request: refusal.Request, Result: scheduler.Unknown}
+	case state != batch.Absent:
+		return scheduler.Reply{Request: refusal.Request, Result: scheduler.Stored}
+	}
+	return refusal
+}
+
 // checkCaller tells the core whether the caller of a request is still connected.
 func (p *Process) checkCaller(c scheduler.CheckCaller) {
 	now := p.deps.Clock.Now()
