proptest: Schedules of stored jobs on the cores

Nothing drew faults between a write of a stored job and its answer: the generated schedules had best-effort jobs only. The cores of entries and sidecars now also run with a modelled store, whose calls and answers are lost or late, with registrations, marks, takeovers, repeated requests, cancellations and failing runs, under killed and paused processes. Each accepted job must end rightly, and no task may start twice, after its last permitted failure, or after its job was refused or cancelled.

--- a/internal/proptest/besteffort_test.go
+++ b/internal/proptest/besteffort_test.go
@@ -47,6 +47,8 @@
 	jobs       map[batch.JobID]*coreJob
 	request    scheduler.Request
 	violations []string
+	// stored is the store with the stored jobs, nil without them.
+	stored *storedCores
 	// log holds what happened to tasks and processes, for violations.
 	log []string
 }
@@ -109,6 +111,7 @@
 type coreRun struct {
 	id     batch.RunID
 	endsAt clock.Millis
+	fails  bool
 }
 
 type coreWorker struct {
@@ -119,6 +122,9 @@
 	highest map[batch.TaskID]batch.Attempt
 	ends    []executor.ListedEnd
 	lastEnd int64
+	// endedAt holds the time of each of ends, lapsedAt is when the lease last expired.
+	endedAt  map[int64]clock.Millis
+	lapsedAt clock.Millis
 }
 
 // coreJob is a job with what its caller knows.
@@ -161,6 +167,10 @@
 			return "orders " + string(c.Sidecar)
 		case scheduler.Reply:
 			return fmt.Sprintf("reply %09d", c.Request)
+		case scheduler.Save:
+			return "save " + string(c.ID)
+		case scheduler.BroadcastNote:
+			return fmt.Sprintf("note %v", c.Note.GetCancelled())
 		case executor.Report:
 			return "report " + string(c.Entry)
 		}
@@ -225,6 +235,9 @@
 	})
 	e.core.SetEntries([]ownership.Incarnation{e.id})
 	w.entries[i] = e
+	if w.stored != nil {
+		w.stored.startEntry(e)
+	}
 	var tick func()
 	tick = func() {
 		if !e.alive {
@@ -239,7 +252,9 @@
 }
 
 func (e *coreEntry) tick() {
-	e.core.RecordStoreContact(e.w.now)
+	if e.w.stored == nil {
+		e.core.RecordStoreContact(e.w.now)
+	}
 	commands := inOrder(e.core.Tick(e.w.now))
 	if e.w.rng.IntN(1500) == 0 && e.w.chance(100) {
 		e.pause(clock.Millis(100 + e.w.rng.IntN(2500)))
@@ -279,6 +294,10 @@
 			delete(e.requests, c.Request)
 			answer(c)
 		}
+	default:
+		if e.w.stored != nil {
+			e.w.stored.execute(e, c)
+		}
 	}
 }
 
@@ -355,7 +374,7 @@
 	x.w, x.name, x.alive = w, x.id, true
 	w.logf("%s starts", x.id)
 	w.sidecars[i] = x
-	w.after(10, func() { x.do(func() { x.core.FencesLoaded(w.now, nil) }) })
+	w.after(10, func() { x.do(func() { x.core.FencesLoaded(w.now, w.marks()) }) })
 	var tick, list, report func()
 	tick = func() {
 		if x.alive {
@@ -389,6 +408,14 @@
 	w.after(5, report)
 }
 
+// marks returns the deposed entries with their successors.
+func (w *cores) marks() map[ownership.Incarnation]ownership.Incarnation {
+	if w.stored == nil {
+		return nil
+	}
+	return maps.Clone(w.stored.marks)
+}
+
 func (x *coreSidecar) tick() {
 	commands := inOrder(x.core.Tick(x.w.now))
 	for _, c := range commands {
@@ -458,6 +485,16 @@
 			s := w.sessions[[2]int{i, x.slot}]
 			if s != nil && s.sidecar == x && s.entry.id == c.Entry && s.sidecarOpen {
 				s.deliver(1, func() {
+					if c.Report.GetDeposed() {
+						w.stored.endDeposed(s.entry)
+						return
+					}
+					if s.entryOpen && w.stored != nil {
+						for _, ev := range c.Report.GetEvents() {
+							id := batch.RunIDFromWire(ev.GetRun())
+							w.logf("event %v %d %v inv %v from %s to %s", id.TaskID, id.Attempt, ev.GetState(), c.Report.GetInventory(), x.id, s.entry.id)
+						}
+					}
 					if s.entryOpen {
 						s.entry.core.HandleReport(w.now, x.id, c.Report)
 						s.entry.tick()
@@ -498,7 +535,7 @@
 
 func (w *cores) startWorker(i int) {
 	w.born++
-	w.workers[i] = &coreWorker{born: int64(w.born), runs: make(map[batch.TaskID]coreRun), highest: make(map[batch.TaskID]batch.Attempt)}
+	w.workers[i] = &coreWorker{born: int64(w.born), runs: make(map[batch.TaskID]coreRun), highest: make(map[batch.TaskID]batch.Attempt), endedAt: make(map[int64]clock.Millis)}
 }
 
 // sorted returns the runs in the order of their ends.
@@ -513,18 +550,21 @@
 	for _, r := range k.sorted() {
 		id := r.id.TaskID
 		switch {
+		case r.endsAt <= min(now, k.lease) && r.fails:
+			k.end(id, batch.OutcomeFailed, r.endsAt)
 		case r.endsAt <= min(now, k.lease):
-			k.end(id, batch.OutcomeDone)
+			k.end(id, batch.OutcomeDone, r.endsAt)
 		case k.lease <= now:
-			k.end(id, batch.OutcomeLost)
+			k.end(id, batch.OutcomeLost, k.lease)
 		}
 	}
 }
 
-func (k *coreWorker) end(id batch.TaskID, o batch.Outcome) {
+func (k *coreWorker) end(id batch.TaskID, o batch.Outcome, at clock.Millis) {
 	r := k.runs[id]
 	delete(k.runs, id)
 	k.lastEnd++
+	k.endedAt[k.lastEnd] = at
 	k.ends = append(k.ends, executor.ListedEnd{Sequence: k.lastEnd, Run: r.id, End: o})
 }
 
@@ -535,6 +575,9 @@
 		return false
 	}
 	k.token = token
+	if k.lease <= now {
+		k.lapsedAt = k.lease
+	}
 	k.lease = max(k.lease, min(lease, now+coreMaxLease))
 	return true
 }
@@ -558,11 +601,16 @@
 			w.violate("twice: %v started at w%d while %d runs at w%d; %s", c.Run, i, r.id.Attempt, other, w.history(c.Run.TaskID))
 		}
 	}
-	if j := w.jobs[c.Run.Job]; j.notRun {
+	if j := w.jobs[c.Run.Job]; j != nil && j.notRun {
 		w.violate("refused: %v starts after an answer of not run", c.Run)
 	}
+	fails := false
+	if w.stored != nil {
+		w.stored.checkStart(c.Run)
+		fails = w.stored.fails(c.Run)
+	}
 	w.logf("start %v %d at w%d, lease %d", c.Run.TaskID, c.Run.Attempt, i, k.lease-1_000_000)
-	k.runs[c.Run.TaskID] = coreRun{c.Run, w.now + clock.Millis(40+w.rng.IntN(900)+w.rng.IntN(2)*w.rng.IntN(1400))}
+	k.runs[c.Run.TaskID] = coreRun{c.Run, w.now + clock.Millis(40+w.rng.IntN(900)+w.rng.IntN(2)*w.rng.IntN(1400)), fails}
 	if len(k.runs)*coreTaskCPU > coreWorkerCPU {
 		w.violate("capacity: %d runs at w%d", len(k.runs), i)
 	}
@@ -575,7 +623,7 @@
 		return
 	}
 	if r, ok := k.runs[c.Run.TaskID]; ok && r.id == c.Run {
-		k.end(c.Run.TaskID, batch.OutcomeStopped)
+		k.end(c.Run.TaskID, batch.OutcomeStopped, w.now)
 		w.logf("stop %v at w%d", c.Run.TaskID, i)
 	}
 	k.highest[c.Run.TaskID] = max(k.highest[c.Run.TaskID], c.Run.Attempt)
@@ -591,6 +639,8 @@
 	for _, e := range k.ends {
 		if e.Sequence > r.Cursor {
 			kept = append(kept, e)
+		} else if w.stored != nil && k.endedAt[e.Sequence] > k.lapsedAt {
+			w.stored.acknowledgeEnd(e)
 		}
 	}
 	k.ends = kept
