scheduler: Start no stored task after its last permitted failure

Cause: the end of a job waits for a write of its progress that is in flight, and a task that failed meanwhile went back to the queue whatever its failures were.

A stored task that has used up its failures, or its crashes, is not placed any more.

Without the change TestNoStartAfterTheLastPermittedFailure: "starts after 4 of 4 failures: got [{w2 {{j 0 0 0} 5}}], want none".

--- a/internal/scheduler/failures_test.go
+++ b/internal/scheduler/failures_test.go
@@ -54,3 +54,31 @@
 		})
 	}
 }
+
+// Guards against starts beyond max_attempts: while a write of the job's progress was in
+// flight, which takes as long as the store is away, the failed task started again.
+func TestNoStartAfterTheLastPermittedFailure(t *testing.T) {
+	b := newTestbed(t, 4)
+	b.submit(job("j", 1, false))
+	b.save(scheduler.SaveDone)
+	for n := 1; n <= 4; n++ {
+		s := b.onlyStart()
+		b.report(s.at, event(s.run, wire.TaskEvent_STATE_FAILED))
+		if n == 1 {
+			b.advance(2000)
+		}
+	}
+	progress := b.lastSave()
+	if progress == nil || progress.Kind != scheduler.SaveProgress {
+		t.Fatalf("write in flight: got %v, want one of the progress", progress)
+	}
+	b.advance(2000)
+	if got := b.starts(); len(got) != 0 {
+		t.Errorf("starts after 4 of 4 failures: got %v, want none", got)
+	}
+	b.s.HandleSaveResult(b.now, progress.ID, progress.Kind, scheduler.SaveDone, 8)
+	b.tick()
+	if save := b.lastSave(); save == nil || save.End.GetState() != wire.StoredEnd_STATE_FAILED {
+		t.Errorf("write afterwards: got %v, want the end as failed", save)
+	}
+}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -115,9 +115,16 @@
 	}
 }
 
-// isPlaceable reports whether a task is pending and may start now.
+// isPlaceable reports whether a task is pending and may start now. A stored task that has
+// used up its permitted failures must not: its job ends once the write in flight is over.
 func (j *job) isPlaceable(t *task) bool {
-	return t.state == taskPending && j.stepReady(t.step) && (j.BestEffort || !t.hasUnstoredCrash())
+	return t.state == taskPending && j.stepReady(t.step) && (j.BestEffort || !t.hasUnstoredCrash() && !j.isExhausted(t))
+}
+
+// isExhausted reports whether as many runs of a task have failed, or crashed their
+// workers, as its job permits.
+func (j *job) isExhausted(t *task) bool {
+	return t.failures >= j.MaxFailures || len(t.crashedAttempts) >= maxCrashes
 }
 
 // stepReady reports whether all steps that a step depends on are done.
@@ -412,7 +419,7 @@
 
 func (j *job) hasFailed() bool {
 	for i := range j.tasks {
-		if j.tasks[i].failures >= j.MaxFailures || len(j.tasks[i].crashedAttempts) >= maxCrashes {
+		if j.isExhausted(&j.tasks[i]) {
 			return true
 		}
 	}
