--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -8,9 +8,16 @@
 	"github.com/teaseltide/teaseltide/pkg/clock"
 )
 
-// minListingInterval is the shortest time between two listings of the open jobs that
-// events request, so that many of them cost one.
-const minListingInterval = 500 * clock.Millis(1)
+const (
+	// minListingInterval is the shortest time between two listings of the open jobs that
+	// events request, so that many of them cost one.
+	minListingInterval = 500 * clock.Millis(1)
+	// confirmationInterval is the longest time for which an entry relies on a stored job
+	// being open without a write or a listing that shows it. With a listing that takes a
+	// second it is well within the 3 s after which the users permit no start of a
+	// cancelled job. Shorter jobs need no listing.
+	confirmationInterval = 1 * clock.Second
+)
 
 // ListOpenJobs lists the open jobs in the store for Reconcile. If that fails,
 // HandleListingFailure is called instead.
@@ -18,12 +25,6 @@
 
 func (ListOpenJobs) command() {}
 
-// confirmationInterval is the longest time for which an entry relies on a stored job
-// being open without a write or a listing that shows it. With a listing that takes a
-// second it is well within the 3 s after which the users permit no start of a cancelled
-// job. Shorter jobs need no listing.
-const confirmationInterval = 1 * clock.Second
-
 // OpenJobs is a listing of the open jobs in the store.
 type OpenJobs struct {
 	// Revision is that of the store at the beginning of the listing. Jobs that were
@@ -122,55 +123,6 @@
 	return !j.BestEffort && j.isOpenAsKnown() && now-j.confirmedAt >= confirmationInterval
 }
 
-// unresolvedRun is a run of a stored job that this entry does not hold, although the job
-// was open when it was looked up or the look-up failed. Its end must not stay
-// unacknowledged once the job has ended: the ends behind it at its worker would too.
-type unresolvedRun struct {
-	run   batch.RunID
-	since clock.Millis
-}
-
-// RecordUnresolvedRuns records runs at a sidecar whose jobs the store had as open, or of
-// which a look-up failed.
-func (s *Scheduler) RecordUnresolvedRuns(now clock.Millis, sidecar Address, runs []batch.RunID) {
-	if n := s.nodes[sidecar]; n != nil && n.connected {
-		for _, id := range runs {
-			n.unresolved = append(n.unresolved, unresolvedRun{id, now})
-		}
-	}
-}
-
-// hasUnresolvedRuns reports whether a listing is needed to resolve runs.
-func (s *Scheduler) hasUnresolvedRuns() bool {
-	return slices.ContainsFunc(s.nodeList, func(n *node) bool { return len(n.unresolved) > 0 })
-}
-
-// resolveRuns releases the unresolved runs whose jobs have ended, and keeps those whose
-// jobs are yet to be taken over by this entry or may be newer than the listing. Other
-// jobs have an owner that gets their runs.
-func (s *Scheduler) resolveRuns(open OpenJobs, listed map[batch.JobID]bool) {
-	if !s.hasUnresolvedRuns() {
-		return
-	}
-	awaited := make(map[batch.JobID]bool)
-	for _, o := range open.Jobs {
-		current, _ := s.successors.CurrentOwner(ownership.Incarnation(o.Record.GetOwner()))
-		j := s.jobs[o.ID]
-		awaited[o.ID] = current == s.settings.Self && (j == nil || j.inFlight == newJobWrite)
-	}
-	for _, n := range s.nodeList {
-		n.unresolved = slices.DeleteFunc(n.unresolved, func(u unresolvedRun) bool {
-			if u.since > open.ReadAt || awaited[u.run.Job] {
-				return false
-			}
-			if !listed[u.run.Job] {
-				n.releaseRun(u.run)
-			}
-			return true
-		})
-	}
-}
-
 // knows reports whether this entry holds a job or has ended it.
 func (s *Scheduler) knows(id batch.JobID) bool {
 	_, ended := s.ended[id]
