scheduler, executor: Run a best-effort job only under a lease of its witnesses

Cause: the caller's connection, as the entry's kernel knows it, was the only permission to run the job. The network can deliver a request, and the end of its connection after it, at any later time, and nothing in a request tells its age.

Change: an entry starts tasks of a best-effort job only while it has the job's lease. Three sidecars, chosen by rendezvous hashing over their incarnations, are the witnesses of a job, and two of them must grant the lease, so two entries never have it at once, however late anything arrives. The lease lasts for 1.1 s and is renewed; runs are stopped before it ends. An entry without it waits, and answers its caller with the result of the run at the other entry. An entry that was cut off or paused asks the same witnesses as the others, until it has found all sidecars again. Sidecars of earlier versions are not witnesses.

--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -21,6 +21,7 @@
 	"github.com/teaseltide/teaseltide/internal/platform"
 	"github.com/teaseltide/teaseltide/internal/routing"
 	"github.com/teaseltide/teaseltide/internal/scheduler"
+	"github.com/teaseltide/teaseltide/internal/wire"
 	"github.com/teaseltide/teaseltide/pkg/clock"
 )
 
@@ -256,6 +257,8 @@
 	switch c := c.(type) {
 	case scheduler.SendOrders:
 		p.sendOrders(c)
+	case scheduler.SendJobLeases:
+		p.sendToSidecar(c.Sidecar, wire.Wrap(c.Requests))
 	case scheduler.Reply:
 		p.requests.deliver(c)
 	case scheduler.CheckCaller:
--- a/internal/entrynode/joblines_test.go
+++ b/internal/entrynode/joblines_test.go
@@ -42,7 +42,7 @@
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{MessageKey: "msg", EncodeDuration: zapcore.SecondsDurationEncoder}), out, zapcore.InfoLevel)
 	log, registry := zap.New(core), prometheus.NewRegistry()
 	p := New(Settings{Incarnation: "entry-1", Scheduler: scheduler.Settings{
-		Self: "entry-1", Seed: 1, GrantDuration: 6000, BestEffortGrantDuration: 1100, StoreContactTimeout: 8000, OfferDuration: 8, LogsJob: logsJob,
+		Self: "entry-1", Seed: 1, GrantDuration: 6000, BestEffortGrantDuration: 1100, JobLeaseDuration: 1100, StoreContactTimeout: 8000, OfferDuration: 8, LogsJob: logsJob,
 	}}, Deps{
 		Clock: clk, Log: log, Jobs: joblog.New(log, clk, registry), Metrics: NewMetrics(registry), StoreHealth: &StoreHealth{Clock: clk},
 	})
--- a/internal/entrynode/members.go
+++ b/internal/entrynode/members.go
@@ -62,10 +62,13 @@
 
 func (p *Process) handleSidecars(sidecars platform.SidecarListing) {
 	targets := make([]peer.Target, 0, len(sidecars.Registrations))
+	registered := make([]ownership.Incarnation, 0, len(sidecars.Registrations))
 	for _, r := range sidecars.Registrations {
 		p.addresses.Store(r.Sidecar, scheduler.Address(r.Address))
 		targets = append(targets, peer.Target{Incarnation: r.Sidecar, Address: r.Address})
+		registered = append(registered, r.Sidecar)
 	}
+	p.push(func(clock.Millis) { p.core.SetSidecars(registered) })
 	p.sidecars.Set(targets)
 }
 
--- a/internal/entrynode/sessions.go
+++ b/internal/entrynode/sessions.go
@@ -72,6 +72,8 @@
 				return
 			}
 			h.p.core.HandleReport(now, s.Peer(), e.GetTaskReport())
+		case h.role == sidecarPeer && h.p.sidecarSessions[s.Peer()] == s && e.GetJobLeaseAnswers() != nil:
+			h.p.core.HandleJobLeaseAnswers(now, s.Peer(), e.GetJobLeaseAnswers())
 		}
 	})
 }
@@ -96,16 +98,23 @@
 	})
 }
 
-// sendOrders queues orders for a sidecar. A frame that cannot be queued ends the
-// session, since the sidecar relies on receiving every frame of a session.
+// sendOrders queues orders for a sidecar.
 func (p *Process) sendOrders(c scheduler.SendOrders) {
-	s := p.sidecarSessions[c.Sidecar]
+	if s := p.sidecarSessions[c.Sidecar]; s != nil {
+		s.SetOutstanding(!c.Orders.GetLoose())
+	}
+	p.sendToSidecar(c.Sidecar, wire.Wrap(c.Orders))
+}
+
+// sendToSidecar queues a frame for a sidecar. One that cannot be queued ends the session,
+// since the sidecar relies on receiving every frame of a session.
+func (p *Process) sendToSidecar(sidecar ownership.Incarnation, e *wire.Envelope) {
+	s := p.sidecarSessions[sidecar]
 	if s == nil {
 		return
 	}
-	s.SetOutstanding(!c.Orders.GetLoose())
-	if err := s.Send(wire.Wrap(c.Orders)); err != nil {
-		p.deps.Log.Warn("session closed, frame not queued", sidecarPeer.field(), zap.String("peer", string(c.Sidecar)), zap.Error(err))
+	if err := s.Send(e); err != nil {
+		p.deps.Log.Warn("session closed, frame not queued", sidecarPeer.field(), zap.String("peer", string(sidecar)), zap.Error(err))
 		s.Close()
 	}
 }
--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -356,7 +356,7 @@
 	report := &wire.TaskReport{
 		SentAt: int64(now), Events: e.events, Load: x.workerLoad(), Deposed: e.deposed,
 		Received: e.received, Unclaimed: x.unclaimed(now, id), Offer: x.offer.entry == id,
-		Held: x.offer.entry != "" && x.offer.entry != id,
+		Held: x.offer.entry != "" && x.offer.entry != id, GrantsJobLeases: true,
 	}
 	if report.Offer && x.offer.sentAt == 0 {
 		x.offer.sentAt = now
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -271,6 +271,8 @@
 	// attempts holds the highest attempt of each task that was ordered here.
 	attempts map[batch.TaskID]attempt
 	entries  map[ownership.Incarnation]*entry
+	// jobLeases holds the leases of the jobs of which this sidecar is a witness.
+	jobLeases map[batch.JobID]jobLease
 	// successors maps each deposed entry to the one that took over.
 	successors ownership.Successors
 	used       batch.Resources
@@ -314,6 +316,7 @@
 		crashedRuns: make(map[batch.RunID]*run),
 		attempts:    make(map[batch.TaskID]attempt),
 		entries:     make(map[ownership.Incarnation]*entry),
+		jobLeases:   make(map[batch.JobID]jobLease),
 		successors:  make(ownership.Successors),
 	}
 }
@@ -338,8 +341,9 @@
 	return commands
 }
 
-// sweep forgets old attempts and crashes.
+// sweep forgets old attempts, crashes and job leases.
 func (x *Executor) sweep(now clock.Millis) {
+	x.sweepJobLeases(now)
 	for id, a := range x.attempts {
 		if now-a.at > attemptRetention && x.runs[id] == nil {
 			delete(x.attempts, id)
--- a/internal/loadtest/fleet_test.go
+++ b/internal/loadtest/fleet_test.go
@@ -204,7 +204,7 @@
 			domain = p.entryDomains[i]
 		}
 		e := &entry{id: id, pending: make(map[scheduler.Request]*submission), core: scheduler.New(scheduler.Settings{
-			Self: id, Domain: domain, GrantDuration: 6 * clock.Second, BestEffortGrantDuration: 1100, StoreContactTimeout: 8 * clock.Second, OfferDuration: executor.OfferDuration, OutsideSubsetReportInterval: executor.LooseReportInterval, EndedRetention: clock.Minute, Seed: p.seed + uint64(i),
+			Self: id, Domain: domain, GrantDuration: 6 * clock.Second, BestEffortGrantDuration: 1100, JobLeaseDuration: executor.JobLeaseDuration, StoreContactTimeout: 8 * clock.Second, OfferDuration: executor.OfferDuration, OutsideSubsetReportInterval: executor.LooseReportInterval, EndedRetention: clock.Minute, Seed: p.seed + uint64(i),
 		})}
 		e.core.SetEntries(live)
 		f.entries = append(f.entries, e)
@@ -371,6 +371,16 @@
 				})
 			}
 		}
+	case scheduler.SendJobLeases:
+		f.countMessage()
+		for _, s := range f.sidecars {
+			if s.id == c.Sidecar {
+				f.after(linkDelay, func() {
+					s.core.JobLeasesRequested(f.now, e.id, c.Requests)
+					s.dirty = true
+				})
+			}
+		}
 	case scheduler.CheckCaller:
 		e.core.CallerConnected(f.now, c.Request, c.Job)
 	case scheduler.Reply:
@@ -434,6 +444,16 @@
 				})
 			}
 		}
+	case executor.AnswerJobLeases:
+		f.countMessage()
+		for _, e := range f.entries {
+			if e.id == command.Entry {
+				f.after(linkDelay, func() {
+					e.core.HandleJobLeaseAnswers(f.now, c.id, command.Answers)
+					e.dirty = true
+				})
+			}
+		}
 	}
 }
 
--- a/internal/peer/kind.go
+++ b/internal/peer/kind.go
@@ -72,6 +72,10 @@
 		return "task-report"
 	case *wire.Envelope_EntryNote:
 		return "entry-note"
+	case *wire.Envelope_JobLeaseRequests:
+		return "job-lease-requests"
+	case *wire.Envelope_JobLeaseAnswers:
+		return "job-lease-answers"
 	}
 	return KindUnknown
 }
--- a/internal/proptest/besteffort_test.go
+++ b/internal/proptest/besteffort_test.go
@@ -35,18 +35,21 @@
 // cores holds the schedulers of entries, the executors of sidecars, modelled workers and
 // the callers of best-effort jobs of one schedule.
 type cores struct {
-	rng        *rand.Rand
-	now        clock.Millis
-	events     eventHeap
-	sequence   int
-	born       int
-	entries    [coreEntries]*coreEntry
-	sidecars   [coreWorkers]*coreSidecar
-	workers    [coreWorkers]*coreWorker
-	sessions   map[[2]int]*coreSession
-	jobs       map[batch.JobID]*coreJob
-	request    scheduler.Request
-	violations []string
+	rng      *rand.Rand
+	now      clock.Millis
+	events   eventHeap
+	sequence int
+	born     int
+	entries  [coreEntries]*coreEntry
+	sidecars [coreWorkers]*coreSidecar
+	workers  [coreWorkers]*coreWorker
+	sessions map[[2]int]*coreSession
+	jobs     map[batch.JobID]*coreJob
+	request  scheduler.Request
+	// callersCutUntil is until when the network holds back what callers and an entry send
+	// each other, isolatedUntil the same for an entry and the sidecars.
+	callersCutUntil, isolatedUntil [coreEntries]clock.Millis
+	violations                     []string
 	// stored is the store with the stored jobs, nil without them.
 	stored *storedCores
 	// log holds what happened to tasks and processes, for violations.
@@ -230,7 +233,7 @@
 	e.w, e.name, e.alive = w, e.id, true
 	w.logf("%s starts", e.id)
 	e.core = scheduler.New(scheduler.Settings{
-		Self: e.id, GrantDuration: 6 * clock.Second, BestEffortGrantDuration: 1100, StoreContactTimeout: 8 * clock.Second,
+		Self: e.id, GrantDuration: 6 * clock.Second, BestEffortGrantDuration: 1100, JobLeaseDuration: executor.JobLeaseDuration, StoreContactTimeout: 8 * clock.Second,
 		OfferDuration: 8, OutsideSubsetReportInterval: 900, EndedRetention: clock.Minute, Seed: uint64(w.born),
 	})
 	e.core.SetEntries([]ownership.Incarnation{e.id})
@@ -267,17 +270,9 @@
 func (e *coreEntry) execute(c scheduler.Command) {
 	switch c := c.(type) {
 	case scheduler.SendOrders:
-		for i := range coreWorkers {
-			s := e.w.sessions[[2]int{e.slot, i}]
-			if s != nil && s.entry == e && s.sidecar.id == c.Sidecar && s.entryOpen {
-				s.deliver(0, func() {
-					if s.sidecarOpen {
-						s.sidecar.core.OrdersReceived(e.w.now, e.id, c.Orders)
-						s.sidecar.tick()
-					}
-				})
-			}
-		}
+		e.send(c.Sidecar, func(x *coreSidecar) { x.core.OrdersReceived(e.w.now, e.id, c.Orders) })
+	case scheduler.SendJobLeases:
+		e.send(c.Sidecar, func(x *coreSidecar) { x.core.JobLeasesRequested(e.w.now, e.id, c.Requests) })
 	case scheduler.Decision:
 		if c.Job != "" {
 			e.w.logf("%s job %s %s %s", e.id, c.Job, c.Summary, c.Reason)
@@ -301,10 +296,25 @@
 	}
 }
 
+// send carries a message to a sidecar with which the entry has a session.
+func (e *coreEntry) send(to ownership.Incarnation, handle func(*coreSidecar)) {
+	for i := range coreWorkers {
+		s := e.w.sessions[[2]int{e.slot, i}]
+		if s != nil && s.entry == e && s.sidecar.id == to && s.entryOpen {
+			s.deliver(0, func() {
+				if s.sidecarOpen {
+					handle(s.sidecar)
+					s.sidecar.tick()
+				}
+			})
+		}
+	}
+}
+
 // deliver carries a message to the sidecar (0) or the entry (1) of a session.
 func (s *coreSession) deliver(to int, f func()) {
 	w := s.entry.w
-	s.last[to] = max(s.last[to], w.now+w.latency())
+	s.last[to] = max(s.last[to], w.now+w.latency(), w.isolatedUntil[s.entry.slot])
 	p := &s.sidecar.coreProcess
 	if to == 1 {
 		p = &s.entry.coreProcess
@@ -480,6 +490,18 @@
 		x.stop(c, 3)
 	case executor.ListNow:
 		x.list()
+	case executor.AnswerJobLeases:
+		for i := range coreEntries {
+			s := w.sessions[[2]int{i, x.slot}]
+			if s != nil && s.sidecar == x && s.entry.id == c.Entry && s.sidecarOpen {
+				s.deliver(1, func() {
+					if s.entryOpen {
+						s.entry.core.HandleJobLeaseAnswers(w.now, x.id, c.Answers)
+						s.entry.tick()
+					}
+				})
+			}
+		}
 	case executor.Report:
 		for i := range coreEntries {
 			s := w.sessions[[2]int{i, x.slot}]
@@ -663,7 +685,9 @@
 	}
 	w.request++
 	r := w.request
-	open := true
+	// open is true while the caller waits, ended once the entry's kernel knows that it has
+	// closed its connection.
+	open, ended := true, false
 	w.logf("job %s submitted at %s", j.id, e.id)
 	j.open++
 	lost := func() {
@@ -673,9 +697,10 @@
 			j.unknown = true
 			j.open--
 			w.after(coreResubmitTime, func() { w.submit(j) })
+			w.pass(e, maxEndDelay, func() { ended = true })
 		}
 	}
-	e.requests[r] = func(a scheduler.Reply) {
+	answer := func(a scheduler.Reply) {
 		if !open {
 			return
 		}
@@ -691,9 +716,10 @@
 			w.after(coreResubmitTime, func() { w.submit(j) })
 		}
 	}
-	e.connected[r] = func() bool { return open }
-	e.do(func() {
-		if !open {
+	e.requests[r] = func(a scheduler.Reply) { w.pass(e, 0, func() { answer(a) }) }
+	e.connected[r] = func() bool { return !ended }
+	arrive := func() {
+		if ended {
 			return
 		}
 		e.core.Submit(w.now, r, batch.Job{
@@ -701,11 +727,15 @@
 			Steps: []batch.Step{{Count: j.tasks, Required: batch.Resources{CPU: coreTaskCPU, MemoryMB: 1}, EstimatedRunTime: 500}},
 		})
 		e.tick()
-	})
+	}
+	w.pass(e, 0, func() { e.do(arrive) })
 	if w.chance(25) {
 		w.after(clock.Millis(w.rng.IntN(800)), func() {
 			if open {
 				lost()
+				if !ended {
+					return
+				}
 				hear := func() { e.do(func() { e.core.CallerDisconnected(w.now, r, j.id); e.tick() }) }
 				if w.now >= e.pausedUntil {
 					hear()
@@ -718,12 +748,30 @@
 	}
 	w.watch(e, lost)
 	w.after(j.deadline+100-w.now, func() {
-		if open && e.alive && w.now > e.pausedUntil+300 {
+		if open && e.alive && w.now > e.pausedUntil+300 && w.now > w.callersCutUntil[e.slot]+300 {
 			w.violate("unanswered: %s at %s", j.id, e.id)
 		}
 	})
 }
 
+// maxEndDelay is how long after the bytes that the network held back the end of their
+// connection arrives at the latest.
+const maxEndDelay = 100 * clock.Millis(1)
+
+// pass lets something pass between a caller and an entry at once, or after a cut and up to
+// so much later.
+func (w *cores) pass(e *coreEntry, later clock.Millis, f func()) {
+	until := w.callersCutUntil[e.slot]
+	if w.now >= until {
+		f()
+		return
+	}
+	if later > 0 {
+		until += clock.Millis(w.rng.IntN(int(later)))
+	}
+	w.after(until-w.now, f)
+}
+
 // watch tells a caller of the end of its entry.
 func (w *cores) watch(e *coreEntry, lost func()) {
 	if !e.alive {
@@ -753,6 +801,14 @@
 			x.alive = false
 			w.after(clock.Millis(f.Length/4), func() { w.startSidecar(x.slot) })
 		}
+	case "cut-callers", "cut-entry":
+		slot := f.Target % coreEntries
+		until := w.now + clock.Millis(f.Length)
+		w.callersCutUntil[slot] = max(w.callersCutUntil[slot], until)
+		if f.Kind == "cut-entry" {
+			w.isolatedUntil[slot] = max(w.isolatedUntil[slot], until)
+		}
+		w.logf("%s slot %d until %d", f.Kind, slot, w.callersCutUntil[slot]-1_000_000)
 	case "kill-worker":
 		w.startWorker(f.Target % coreWorkers)
 	case "close":
@@ -804,6 +860,24 @@
 	})
 }
 
+// Guards against two runs of one task at once: the network held a request back until its
+// caller had left and its job ran at another entry, and delivered the end of the connection
+// after it or not at all while the job ran. The cut is of the callers' path alone or of all
+// links of the entry, and the caller comes again before, at or after its end.
+func TestHeldBackRequestSchedules(t *testing.T) {
+	for number := range uint64(heldBackSchedules) {
+		faults := append(numberedSchedule(number, 11, []string{"cut-callers", "cut-entry"}, 1000), numberedSchedule(number, 12, coreFaultKinds, 1000)...)
+		if number%2 == 0 {
+			faults = numberedSchedule(number, 11, []string{"cut-callers", "cut-entry"}, 1000)
+		}
+		for _, v := range runCores(number, faults) {
+			t.Errorf("schedule %d: %s", number, v)
+		}
+	}
+}
+
+const heldBackSchedules = 600
+
 var coreFaultKinds = []string{"pause-entry", "pause-sidecar", "kill-entry", "kill-sidecar", "kill-worker", "close"}
 
 // coreSchedule returns the faults of a numbered schedule.
--- a/internal/scheduler/besteffort.go
+++ b/internal/scheduler/besteffort.go
@@ -51,6 +51,7 @@
 	j.submitters = []Request{r}
 	j.callerSeenAt = now
 	s.jobs[b.ID] = j
+	s.beginLeaseRound(now, j)
 	s.enqueue(j)
 	s.logAccepted(now, j)
 	if j.restoreCrashes(abandoned) {
@@ -199,6 +200,7 @@
 // anew if a resubmission is pending.
 func (s *Scheduler) removeBestEffort(now clock.Millis, j *job) {
 	s.removeJob(j)
+	s.releaseJobLease(j, endedStateToWire(s.ended[j.ID].state), now+leaseReleaseDelay)
 	if _, ended := s.ended[j.ID]; !ended && (j.ranBefore || j.hasRun()) {
 		a := abandonedJob{at: now, attempt: j.baseAttempt}
 		for i := range j.tasks {
@@ -230,6 +232,9 @@
 	}
 	s.expiryDueAt = now + expiryInterval
 	for _, j := range s.jobs {
+		if j.BestEffort {
+			s.updateJobLease(now, j)
+		}
 		if j.BestEffort && !j.cancelled {
 			s.checkCallers(now, j)
 		}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -79,6 +79,8 @@
 	// resubmitted is a resubmission that waits for the previous runs to stop.
 	resubmitted *resubmission
 	cancellers  []Request
+	// lease is that of a best-effort job.
+	lease jobLease
 }
 
 type unstoredEnd struct {
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -93,6 +93,9 @@
 	slowness, usualSlowness float64
 	observedRuns            int
 	observedAt              clock.Millis
+	// grantsJobLeases is true if the sidecar answers lease requests.
+	grantsJobLeases bool
+	leases          pendingLeases
 	health
 }
 
@@ -159,6 +162,7 @@
 	}
 	if n.incarnation != id {
 		delete(s.sessions, n.incarnation)
+		s.witnesses.disconnect(n.incarnation)
 	}
 	n.incarnation = id
 	n.domain = domain
@@ -170,6 +174,8 @@
 	n.reportSentAt = 0
 	n.unacknowledgedStarts = nil
 	n.load = nil
+	n.leases = pendingLeases{}
+	s.witnesses.find(id).node = n
 	n.pendingOrders = nil
 	n.unresolved = nil
 	n.offered = false
@@ -190,6 +196,7 @@
 		return
 	}
 	delete(s.sessions, id)
+	s.witnesses.disconnect(id)
 	s.subsetUpdate.due = true
 	n.connected = false
 	n.hasInventory = false
@@ -230,7 +237,12 @@
 
 // updateLoad sets a worker's load, less the starts in flight to it.
 func (s *Scheduler) updateLoad(n *node, r *wire.TaskReport) {
+	if n.load == nil {
+		// Jobs that were accepted before may await their leases.
+		s.witnesses.updateDueAt, s.expiryDueAt = 0, 0
+	}
 	n.load = r.GetLoad()
+	n.grantsJobLeases = r.GetGrantsJobLeases()
 	n.capacity = batch.Resources{CPU: n.load.GetCpu(), MemoryMB: n.load.GetMemoryMb(), Accelerators: n.load.GetAccelerators()}
 	n.free = batch.Resources{CPU: n.load.GetFreeCpu(), MemoryMB: n.load.GetFreeMemoryMb(), Accelerators: n.load.GetFreeAccelerators()}
 	n.unacknowledgedStarts = slices.DeleteFunc(n.unacknowledgedStarts, func(u unacknowledgedStart) bool { return u.sequence <= r.GetReceived() })
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -36,7 +36,7 @@
 		if !j.BestEffort && !stored {
 			continue
 		}
-		if !s.mayStart(j) || !j.callerPresent(now) {
+		if !s.mayStart(j) || !j.callerPresent(now) || !j.mayRun(now) {
 			continue
 		}
 		if !s.placeJob(now, j) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -34,6 +34,9 @@
 	// StoreContactTimeout is how long an entry without contact to the store
 	// continues to give orders for stored jobs.
 	StoreContactTimeout clock.Millis
+	// JobLeaseDuration is how long a witness keeps the lease of a best-effort job for an
+	// entry.
+	JobLeaseDuration clock.Millis
 	// OfferDuration is how long a sidecar reserves free capacity for the entry that
 	// it was offered to.
 	OfferDuration clock.Millis
@@ -100,8 +103,9 @@
 	// drainBy is when a draining entry ends, 0 for one that is not draining.
 	drainBy clock.Millis
 	membership
-	listings listings
-	nonce    uint64
+	witnesses witnessSet
+	listings  listings
+	nonce     uint64
 	// notedPending is true if the last note to the other entries had pending jobs.
 	notedPending bool
 	// pools holds the aggregate of each service's workers.
@@ -195,6 +199,7 @@
 	}
 	s.updateSubsets(now)
 	s.updatePools(now)
+	s.updateWitnesses(now)
 	s.expireGrants(now)
 	s.expireBestEffort(now)
 	s.completeTakeovers(now)
@@ -202,6 +207,7 @@
 	s.listIfDue(now)
 	s.placeTasks(now)
 	s.flushOrders(now)
+	s.flushJobLeases(now)
 	if now >= s.sweepDueAt {
 		s.sweepDueAt = now + sweepInterval
 		s.sweep(now)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -15,7 +15,7 @@
 const self = ownership.Incarnation("entry-a")
 
 var settings = scheduler.Settings{
-	Self: self, GrantDuration: 6 * clock.Second, BestEffortGrantDuration: 1100, StoreContactTimeout: 8 * clock.Second, OfferDuration: 8, OutsideSubsetReportInterval: 900, EndedRetention: clock.Minute, Seed: 1,
+	Self: self, GrantDuration: 6 * clock.Second, BestEffortGrantDuration: 1100, JobLeaseDuration: 1100, StoreContactTimeout: 8 * clock.Second, OfferDuration: 8, OutsideSubsetReportInterval: 900, EndedRetention: clock.Minute, Seed: 1,
 }
 
 // testbed drives a Scheduler and simulates the store and the sidecars.
@@ -33,6 +33,10 @@
 	// gone holds the requests whose callers have closed their connections, which
 	// the scheduler learns by CheckCaller only.
 	gone map[scheduler.Request]bool
+	// witnesses grant the job leases of this entry; without them, the sidecars are of a
+	// version that knows none.
+	witnesses *witnesses
+	entry     ownership.Incarnation
 }
 
 func newTestbed(t *testing.T, workers int) *testbed {
@@ -81,6 +85,7 @@
 func (b *testbed) send(a scheduler.Address, r *wire.TaskReport) {
 	r.SentAt = int64(b.now)
 	r.Received = b.received[a]
+	r.GrantsJobLeases = b.witnesses != nil
 	if r.GetLoad() == nil {
 		cpu := b.workers[a]
 		r.Load = &wire.WorkerLoad{Cpu: cpu, FreeCpu: cpu, MemoryMb: 1000, FreeMemoryMb: 1000, Ready: true, Service: "s"}
@@ -91,6 +96,13 @@
 
 func (b *testbed) tick() {
 	for _, c := range b.s.Tick(b.now) {
+		if l, ok := c.(scheduler.SendJobLeases); ok && b.witnesses != nil {
+			a := scheduler.Address(string(l.Sidecar)[len("sidecar-"):])
+			if answers := b.witnesses.handle(b.now, b.entry, a, l.Requests); answers != nil {
+				b.s.HandleJobLeaseAnswers(b.now, l.Sidecar, answers)
+				defer b.tick()
+			}
+		}
 		if o, ok := c.(scheduler.SendOrders); ok {
 			a := scheduler.Address(string(o.Sidecar)[len("sidecar-"):])
 			b.received[a] = o.Orders.GetSequence()
--- a/internal/sidecarnode/sessions.go
+++ b/internal/sidecarnode/sessions.go
@@ -8,8 +8,6 @@
 	"github.com/teaseltide/teaseltide/pkg/clock"
 )
 
-func wrapReport(r *wire.TaskReport) *wire.Envelope { return wire.Wrap(r) }
-
 // handler turns the callbacks of sessions into events. Messages of a session that
 // a newer one has replaced are dropped.
 type handler struct{ p *Process }
@@ -28,13 +26,17 @@
 
 // Message implements peer.Handler.
 func (h handler) Message(s *peer.Session, e *wire.Envelope) {
-	orders := e.GetTaskOrders()
-	if orders == nil {
+	orders, leases := e.GetTaskOrders(), e.GetJobLeaseRequests()
+	if orders == nil && leases == nil {
 		return
 	}
 	h.p.push(func(now clock.Millis) {
-		if h.p.sessions[s.Peer()] == s {
+		switch {
+		case h.p.sessions[s.Peer()] != s:
+		case orders != nil:
 			h.p.core.OrdersReceived(now, s.Peer(), orders)
+		default:
+			h.p.core.JobLeasesRequested(now, s.Peer(), leases)
 		}
 	})
 }
--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -17,6 +17,7 @@
 	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/peer"
 	"github.com/teaseltide/teaseltide/internal/platform"
+	"github.com/teaseltide/teaseltide/internal/wire"
 	"github.com/teaseltide/teaseltide/pkg/clock"
 )
 
@@ -213,7 +214,9 @@
 	case executor.StartResolved:
 		p.recordResolved(c)
 	case executor.Report:
-		p.sendReport(c)
+		p.send(c.Entry, wire.Wrap(c.Report))
+	case executor.AnswerJobLeases:
+		p.send(c.Entry, wire.Wrap(c.Answers))
 	case executor.LeaseExpiring:
 		p.deps.Log.Warn("lease left to lapse", zap.String("entry", string(c.Entry)), zap.Int64("granted-until-ms", int64(c.GrantEndedAt)), runField(c.Run))
 	case executor.WorkerReplaced:
@@ -251,15 +254,15 @@
 	}
 }
 
-// sendReport sends a report. If it cannot be queued, the session is closed, since
+// send sends a message to an entry. If it cannot be queued, the session is closed, since
 // the entry relies on receiving every report of a session.
-func (p *Process) sendReport(c executor.Report) {
-	s := p.sessions[c.Entry]
+func (p *Process) send(entry ownership.Incarnation, e *wire.Envelope) {
+	s := p.sessions[entry]
 	if s == nil {
 		return
 	}
-	if err := s.Send(wrapReport(c.Report)); err != nil {
-		p.deps.Log.Warn("report not queued, closing the session", zap.String("entry", string(c.Entry)), zap.Error(err))
+	if err := s.Send(e); err != nil {
+		p.deps.Log.Warn("message not queued, closing the session", zap.String("entry", string(entry)), zap.Error(err))
 		s.Close()
 	}
 }
--- a/internal/wire/wrap.go
+++ b/internal/wire/wrap.go
@@ -62,6 +62,10 @@
 		return &Envelope{Body: &Envelope_Rejected{b}}
 	case *SidecarState:
 		return &Envelope{Body: &Envelope_SidecarState{b}}
+	case *JobLeaseRequests:
+		return &Envelope{Body: &Envelope_JobLeaseRequests{b}}
+	case *JobLeaseAnswers:
+		return &Envelope{Body: &Envelope_JobLeaseAnswers{b}}
 	}
 	panic("wire: message is not part of Envelope")
 }
