sidecarnode: Delete the registration of an emptied sidecar at its planned stop

A sidecar now deletes its registration in a planned stop if its worker has listed its runs and holds neither a run nor an unacknowledged end. Otherwise it stays, as a takeover has to learn of what the worker holds.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -361,6 +361,12 @@
 	return len(x.runs) == 0
 }
 
+// HoldsNothing reports whether the worker has listed its runs and ends and has none that a
+// takeover must wait for.
+func (x *Executor) HoldsNothing() bool {
+	return x.hasListed && x.Idle()
+}
+
 // ActiveRuns returns the number of runs that may be active on the worker.
 func (x *Executor) ActiveRuns() int {
 	n := 0
--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -168,6 +168,8 @@
 	go p.register(work)
 	go p.persistWorker(work)
 	p.control.Run(ctx, tickInterval, p.beginDrain, p.tick)
+	cancel()
+	p.unregister()
 	flush, done := context.WithTimeout(context.Background(), flushTimeout)
 	defer done()
 	node.Close(flush)
@@ -394,6 +396,20 @@
 	p.deps.Log.Info("registered", zap.String("sidecar", string(own.Sidecar)))
 }
 
+// unregister deletes the sidecar's registration in a planned stop, unless its worker holds
+// something: a takeover waits for all registered sidecars, for as long as the grants of
+// their runs last if they are silent.
+func (p *Process) unregister() {
+	if !p.core.HoldsNothing() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if err := p.deps.Directory.DeleteSidecar(ctx, p.settings.Incarnation); err != nil {
+		p.deps.Log.Info("registration not deleted", zap.Error(err))
+	}
+}
+
 // retry repeats a store call until it succeeds or ctx ends.
 func (p *Process) retry(ctx context.Context, what string, f func(context.Context) error) {
 	failing := false
