scheduler: Count the pending jobs of a lost entry until they are taken over

The numbers now count until this entry takes the jobs over, 3 s after another one was named the successor (which then counts them itself), once a listing shows no open job of the lost entry, or for 14 s.

--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -350,8 +350,8 @@
 // started task, at all entries.
 func (s *Scheduler) PendingJobs(route batch.Route) int64 {
 	n := s.ownPendingJobs()[string(route)]
-	for _, counts := range s.peerPending {
-		n += counts[route]
+	for _, p := range s.peerPending {
+		n += p.counts[route]
 	}
 	return n
 }
@@ -379,15 +379,45 @@
 	for route, count := range n.GetPending() {
 		counts[batch.Route(route)] = count
 	}
-	s.peerPending[from] = counts
+	s.peerPending[from] = peerPending{counts: counts}
 }
 
-// EntryDisconnected handles the end of the session with another entry.
+// peerPending holds the numbers of another entry's pending jobs.
+type peerPending struct {
+	counts map[batch.Route]int64
+	// dropAt is when the counts of an entry without a session are dropped, 0 with one.
+	dropAt clock.Millis
+}
+
+const (
+	// lostPendingRetention is how long the pending jobs of a lost entry count unless
+	// another entry takes over: as long as callers may wait for a takeover.
+	lostPendingRetention = 14 * clock.Second
+	// takenOverPendingRetention is the same once a successor is known, which then counts
+	// them as its own and tells the others every 500 ms.
+	takenOverPendingRetention = 3 * clock.Second
+)
+
+// EntryDisconnected handles the end of the session with another entry. Its stored jobs
+// remain pending until they are taken over.
 func (s *Scheduler) EntryDisconnected(id ownership.Incarnation) {
-	delete(s.peerPending, id)
+	s.dropPendingBy(id, s.now+lostPendingRetention)
 	s.disruptedAt = s.now
 }
 
+// dropPendingBy drops the numbers of another entry's pending jobs at a time, if they are
+// not dropped before.
+func (s *Scheduler) dropPendingBy(id ownership.Incarnation, at clock.Millis) {
+	p, ok := s.peerPending[id]
+	if !ok {
+		return
+	}
+	if p.dropAt == 0 || at < p.dropAt {
+		p.dropAt = at
+	}
+	s.peerPending[id] = p
+}
+
 // advance writes the end of a stored job that is cancelled, failed or complete,
 // unless a write is in flight.
 func (s *Scheduler) advance(now clock.Millis, j *job) {
--- a/internal/scheduler/reconcile.go
+++ b/internal/scheduler/reconcile.go
@@ -84,9 +84,11 @@
 		listed[id] = true
 	}
 	var unheld []ownership.Incarnation
+	owners := make(map[ownership.Incarnation]bool)
 	for _, o := range open.Jobs {
 		listed[o.ID] = true
 		owner := ownership.Incarnation(o.Record.GetOwner())
+		owners[owner] = true
 		current, _ := s.successors.CurrentOwner(owner)
 		if current != s.settings.Self {
 			s.noteMissing(now, current)
@@ -101,6 +103,11 @@
 			s.recover(owner)
 		}
 	}
+	for entry, p := range s.peerPending {
+		if p.dropAt != 0 && !owners[entry] {
+			delete(s.peerPending, entry)
+		}
+	}
 	s.resolveRuns(open, listed)
 	for id, j := range s.jobs {
 		switch {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 package scheduler
 
 import (
+	"maps"
 	"math/rand/v2"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
@@ -96,7 +97,7 @@
 	demandSampleUntil clock.Millis
 	// entryCount is the number of entries that share the workers.
 	entryCount  int
-	peerPending map[ownership.Incarnation]map[batch.Route]int64
+	peerPending map[ownership.Incarnation]peerPending
 	// notedCancellations holds the recent cancellations of other entries' jobs, oldest
 	// first.
 	notedCancellations []notedCancellation
@@ -155,7 +156,7 @@
 		nodes:               make(map[Address]*node),
 		sessions:            make(map[ownership.Incarnation]*node),
 		successors:          make(ownership.Successors),
-		peerPending:         make(map[ownership.Incarnation]map[batch.Route]int64),
+		peerPending:         make(map[ownership.Incarnation]peerPending),
 		pools:               make(map[string]*pool),
 		patience:            make(map[batch.Route]patience),
 		suspects:            suspects{nodes: make(map[Address]bool)},
@@ -257,6 +258,7 @@
 		s.pendingCommands = append(s.pendingCommands, BroadcastNote{Note: &wire.EntryNote{Pending: own}})
 	}
 	s.repeatCancellations(now)
+	maps.DeleteFunc(s.peerPending, func(_ ownership.Incarnation, p peerPending) bool { return p.dropAt != 0 && now >= p.dropAt })
 }
 
 // Command is an action that the process carries out for the scheduler.
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -62,6 +62,9 @@
 		}
 		s.successors[deposed] = successor
 		added = append(added, deposed)
+		if successor != s.settings.Self {
+			s.dropPendingBy(deposed, s.now+takenOverPendingRetention)
+		}
 		for _, n := range s.nodeList {
 			if n.connected {
 				n.orders().Fences = append(n.orders().Fences, &wire.FenceEntry{Deposed: string(deposed), Successor: string(successor)})
@@ -109,6 +112,7 @@
 		t.jobs = append(t.jobs, o.ID)
 		s.addOwners(t, ownership.Incarnation(o.Record.GetOwner()))
 	}
+	delete(s.peerPending, deposed)
 	for _, n := range s.nodeList {
 		if n.connected {
 			t.awaitingInventory[n.address] = true
