scheduler, executor: Stop the runs of a cancelled job whose owner is lost

They stop the runs of the job whoever ordered them; its end is in the store, so their ends need not be kept.

--- a/internal/entrynode/callers.go
+++ b/internal/entrynode/callers.go
@@ -8,6 +8,7 @@
 
 	"github.com/teaseltide/teaseltide/internal/batch"
 	"github.com/teaseltide/teaseltide/internal/jobstore"
+	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/scheduler"
 	"github.com/teaseltide/teaseltide/internal/wire"
 	"github.com/teaseltide/teaseltide/pkg/clock"
@@ -209,14 +210,15 @@
 		}
 		if open == nil {
 			if state == batch.Cancelled {
-				p.push(func(now clock.Millis) { p.core.RecordCancelledElsewhere(now, id) })
+				p.push(func(now clock.Millis) { p.core.RecordCancelledElsewhere(now, id, "", true) })
 			}
 			return state != batch.Absent, nil
 		}
 		end := &wire.StoredEnd{State: wire.StoredEnd_STATE_CANCELLED, EndedAtMs: int64(p.deps.Clock.Now()), Nonce: string(p.settings.Incarnation)}
 		if err = jobstore.Cancel(ctx, p.deps.Store, p.settings.Keys, open, end); err == nil {
 			p.deps.Log.Info("job cancelled for another entry", zap.String("job", string(id)), zap.String("owner", open.Record.GetOwner()))
-			p.push(func(now clock.Millis) { p.core.RecordCancelledElsewhere(now, id) })
+			owner := ownership.Incarnation(open.Record.GetOwner())
+			p.push(func(now clock.Millis) { p.core.RecordCancelledElsewhere(now, id, owner, p.entrySessions[owner] == nil) })
 			return true, nil
 		}
 	}
--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -109,6 +109,9 @@
 	for _, id := range o.GetStops() {
 		x.handleStop(now, from, batch.RunIDFromWire(id))
 	}
+	for _, id := range o.GetCancelledJobs() {
+		x.stopCancelledJob(now, batch.JobID(id))
+	}
 	for _, id := range o.GetStored() {
 		if r := x.findRun(batch.RunIDFromWire(id)); r != nil && r.phase == ended && x.mayOrder(from, r) {
 			r.acknowledgeable = true
@@ -267,6 +270,23 @@
 	}
 }
 
+// stopCancelledJob stops the runs of a stored job that is cancelled in the store and permits
+// their ends to be acknowledged. Its owner may have died before it could do so.
+func (x *Executor) stopCancelledJob(now clock.Millis, id batch.JobID) {
+	for _, r := range x.runs {
+		switch {
+		case r.id.Job != id || r.bestEffort:
+		case r.phase == queued:
+			x.returnTask(r)
+		default:
+			r.acknowledgeable = true
+			if r.phase != ended {
+				x.stopByOrder(now, r, StopReleased)
+			}
+		}
+	}
+}
+
 // addEvent queues an event for the entry that owns a run, if it is connected.
 func (x *Executor) addEvent(r *run, state wire.TaskEvent_State) { x.addEventFor(r.owner, r, state) }
 
--- a/internal/executor/stops_test.go
+++ b/internal/executor/stops_test.go
@@ -121,3 +121,31 @@
 		t.Errorf("stops in 2 s: got %d, want at least 5", stops)
 	}
 }
+
+// Guards against runs of a cancelled job that go on at the sidecar because another entry
+// than their owner, which is dead, tells of the cancellation.
+func TestCancelledJobIsStoppedForAnyOwner(t *testing.T) {
+	for name, bestEffort := range map[string]bool{"stored": false, "best-effort": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.x.EntryConnected(entryB)
+			id := runID("j")
+			h.x.OrdersReceived(h.now, entryA, h.orders(start(id, 6000, bestEffort)))
+			h.tick()
+			h.x.StartAnswered(h.now, id, firstToken, executor.StartAccepted)
+			h.x.EntryDisconnected(entryA)
+			h.commands = nil
+			h.x.OrdersReceived(h.now, entryB, &wire.TaskOrders{CancelledJobs: []string{"k", "j"}})
+			h.tick()
+			stops := 0
+			for _, c := range h.commands {
+				if stop, ok := c.(executor.StopRun); ok && stop.Run == id {
+					stops++
+				}
+			}
+			if got, want := stops > 0, !bestEffort; got != want {
+				t.Errorf("run stopped: got %t, want %t", got, want)
+			}
+		})
+	}
+}
--- a/internal/proptest/stored_test.go
+++ b/internal/proptest/stored_test.go
@@ -250,7 +250,7 @@
 		return func() {
 			if !isOpen {
 				if ended.GetState() == wire.StoredEnd_STATE_CANCELLED {
-					e.core.RecordCancelledElsewhere(s.w.now, j.ID)
+					e.core.RecordCancelledElsewhere(s.w.now, j.ID, "", true)
 				}
 				s.acknowledgeCancellation(j)
 				return
@@ -264,7 +264,7 @@
 				s.ended[j.ID] = &wire.StoredEnd{State: wire.StoredEnd_STATE_CANCELLED, Nonce: string(e.id)}
 				s.w.logf("job %s cancelled in the store by %s", j.ID, e.id)
 				return func() {
-					e.core.RecordCancelledElsewhere(s.w.now, j.ID)
+					e.core.RecordCancelledElsewhere(s.w.now, j.ID, "", true)
 					s.acknowledgeCancellation(j)
 				}
 			}, retry)
--- a/internal/scheduler/cancellations.go
+++ b/internal/scheduler/cancellations.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
+	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/wire"
 	"github.com/teaseltide/teaseltide/pkg/clock"
 )
@@ -18,18 +19,50 @@
 type notedCancellation struct {
 	id    batch.JobID
 	until clock.Millis
+	// owner is the entry in the record that was cancelled, "" if it is not known.
+	owner ownership.Incarnation
+	// ordered is true once the sidecars have been told to stop the job's runs.
+	ordered bool
 }
 
 // RecordCancelledElsewhere records that the store has a job as cancelled that this entry
 // did not hold, and tells the other entries, of which one may own the job. This entry may
-// have taken it over meanwhile.
-func (s *Scheduler) RecordCancelledElsewhere(now clock.Millis, id batch.JobID) {
+// have taken it over meanwhile. If there is no session with the owner, the sidecars are
+// told: nobody takes over an entry without open jobs, so its runs would go on for as long as
+// its grants last.
+func (s *Scheduler) RecordCancelledElsewhere(now clock.Millis, id batch.JobID, owner ownership.Incarnation, isOwnerLost bool) {
 	s.jobCancelledByPeer(now, id)
-	if slices.ContainsFunc(s.notedCancellations, func(c notedCancellation) bool { return c.id == id }) {
+	i := slices.IndexFunc(s.notedCancellations, func(c notedCancellation) bool { return c.id == id })
+	if i < 0 {
+		i = len(s.notedCancellations)
+		s.notedCancellations = append(s.notedCancellations, notedCancellation{id: id, until: now + cancellationNoteDuration, owner: owner})
+		s.sendCancellations([]string{string(id)})
+	}
+	if isOwnerLost {
+		s.stopRunsOfCancelled(&s.notedCancellations[i])
+	}
+}
+
+// stopRunsOfCancelled tells all sidecars once to stop the runs of a cancelled job.
+func (s *Scheduler) stopRunsOfCancelled(c *notedCancellation) {
+	if c.ordered {
 		return
 	}
-	s.notedCancellations = append(s.notedCancellations, notedCancellation{id, now + cancellationNoteDuration})
-	s.sendCancellations([]string{string(id)})
+	c.ordered = true
+	for _, n := range s.nodeList {
+		if n.connected {
+			n.orders().CancelledJobs = append(n.orders().CancelledJobs, string(c.id))
+		}
+	}
+}
+
+// stopRunsOfLostOwner does so for the recently cancelled jobs of an entry that is lost.
+func (s *Scheduler) stopRunsOfLostOwner(owner ownership.Incarnation) {
+	for i := range s.notedCancellations {
+		if c := &s.notedCancellations[i]; c.owner == owner {
+			s.stopRunsOfCancelled(c)
+		}
+	}
 }
 
 // EntryConnected handles the start of a session with another entry, which may have
--- a/internal/scheduler/cancellations_test.go
+++ b/internal/scheduler/cancellations_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
+	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/scheduler"
 	"github.com/teaseltide/teaseltide/internal/wire"
 	"github.com/teaseltide/teaseltide/pkg/clock"
@@ -53,7 +54,7 @@
 func TestCancellationIsRepeatedToOtherEntries(t *testing.T) {
 	b := newTestbed(t, 1)
 	b.advance(clock.Second)
-	b.s.RecordCancelledElsewhere(b.now, "j")
+	b.s.RecordCancelledElsewhere(b.now, "j", "entry-b", false)
 	b.tick()
 	if got := b.cancellationNotes(); got == 0 {
 		t.Error("notes after the cancellation: got none")
@@ -84,7 +85,7 @@
 	b := newTestbed(t, 1)
 	b.submit(job("j", 1, false))
 	b.save(scheduler.SaveDone)
-	b.s.RecordCancelledElsewhere(b.now, "j")
+	b.s.RecordCancelledElsewhere(b.now, "j", "entry-b", false)
 	b.tick()
 	if got := b.s.OpenJobs(); got != 0 {
 		t.Errorf("open jobs: got %d, want 0", got)
@@ -93,3 +94,54 @@
 		t.Errorf("state: got %v, want %v", got, batch.Cancelled)
 	}
 }
+
+// cancelledAtSidecars returns how often each sidecar was told that job j is cancelled since
+// the last call of starts.
+func (b *testbed) cancelledAtSidecars() map[scheduler.Address]int {
+	told := make(map[scheduler.Address]int)
+	for a, all := range b.sent {
+		for _, o := range all {
+			if slices.Contains(o.GetCancelledJobs(), "j") {
+				told[a]++
+			}
+		}
+	}
+	return told
+}
+
+// Guards against runs of a cancelled job that go on until the grants of its dead owner
+// lapse: nobody deposes an entry without open jobs.
+func TestRunsOfACancelledJobAreStoppedIfItsOwnerIsLost(t *testing.T) {
+	const owner, other = ownership.Incarnation("entry-b"), ownership.Incarnation("entry-c")
+	for name, test := range map[string]struct {
+		isLost bool
+		lost   []ownership.Incarnation
+		want   int
+	}{
+		"owner lost before":          {isLost: true, want: 1},
+		"owner lost after":           {lost: []ownership.Incarnation{owner}, want: 1},
+		"lost before and also after": {isLost: true, lost: []ownership.Incarnation{owner}, want: 1},
+		"owner connected":            {want: 0},
+		"another entry lost":         {lost: []ownership.Incarnation{other}, want: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestbed(t, 2)
+			b.s.RecordCancelledElsewhere(b.now, "j", owner, test.isLost)
+			b.tick()
+			for _, id := range test.lost {
+				b.s.EntryDisconnected(id)
+			}
+			b.advance(clock.Second)
+			told := b.cancelledAtSidecars()
+			for i := range 2 {
+				if got := told[address(i)]; got != test.want {
+					t.Errorf("orders to sidecar %d that name the job: got %d, want %d", i, got, test.want)
+				}
+			}
+			b.connect("w2", 20_000)
+			if got := b.cancelledAtSidecars()["w2"]; got != test.want {
+				t.Errorf("orders to a sidecar that connects later: got %d, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -402,6 +402,7 @@
 // remain pending until they are taken over.
 func (s *Scheduler) EntryDisconnected(id ownership.Incarnation) {
 	s.dropPendingBy(id, s.now+lostPendingRetention)
+	s.stopRunsOfLostOwner(id)
 	s.disruptedAt = s.now
 }
 
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -184,6 +184,11 @@
 		b.task.sequence = 0
 	}
 	s.sessions[id] = n
+	for _, c := range s.notedCancellations {
+		if c.ordered {
+			n.orders().CancelledJobs = append(n.orders().CancelledJobs, string(c.id))
+		}
+	}
 	for deposed, successor := range s.successors {
 		n.orders().Fences = append(n.orders().Fences, &wire.FenceEntry{Deposed: string(deposed), Successor: string(successor)})
 	}
