scheduler: Keep a task away from the worker that crashed under it

Three crashes under a task fail its job, also if they are of one worker.

A task now avoids the workers that crashed under it, like those that failed it, while another one can take it.

TestTaskAvoidsTheWorkerThatCrashedUnderIt fails without the change (the worker that crashed gets the task again).

--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -21,6 +21,9 @@
 	// storedCrashes is the number of crashedAttempts in the store, crashesInWrite that
 	// in the newest write.
 	storedCrashes, crashesInWrite int
+	// crashedWorkers holds the workers that crashed under the task, as far as this entry
+	// knows.
+	crashedWorkers []Address
 	// lastCrashAt is when the newest crash was reported to this entry.
 	lastCrashAt clock.Millis
 }
@@ -42,6 +45,9 @@
 	}
 	t.crashedAttempts = append(t.crashedAttempts, id.Attempt)
 	t.lastCrashAt = s.now
+	if !slices.Contains(t.crashedWorkers, n.address) {
+		t.crashedWorkers = append(t.crashedWorkers, n.address)
+	}
 	if len(t.crashedAttempts) == 1 {
 		s.suspects.tasks = append(s.suspects.tasks, boundTask{j, t})
 	}
--- a/internal/scheduler/crashes_test.go
+++ b/internal/scheduler/crashes_test.go
@@ -279,3 +279,23 @@
 		t.Errorf("start: got one of %s, want one of the job without a crash", got)
 	}
 }
+
+// Guards against a job that is given up because one worker crashes again and again: it was
+// empty after each crash, so that it looked the best, and got the same task each time.
+func TestTaskAvoidsTheWorkerThatCrashedUnderIt(t *testing.T) {
+	b := newTestbed(t, 2)
+	b.advance(100)
+	b.submit(job("j", 1, true))
+	first := b.onlyStart()
+	b.report(first.at, event(first.run, wire.TaskEvent_STATE_RUNNING))
+	other := address(0)
+	if first.at == other {
+		other = address(1)
+	}
+	// The other worker is busy, and the one that crashed is empty.
+	b.send(other, &wire.TaskReport{Load: &wire.WorkerLoad{Cpu: 20_000, FreeCpu: 7000, MemoryMb: 1000, FreeMemoryMb: 1000, Ready: true, Service: "s"}})
+	b.report(first.at, crashEvent(first.run, true))
+	if got := b.onlyStart().at; got != other {
+		t.Errorf("worker of the second start: got %s, want %s", got, other)
+	}
+}
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -106,7 +106,7 @@
 		if t.isSuspect() && s.suspects.nodes[n.address] {
 			continue
 		}
-		if slices.Contains(t.failedWorkers, n.address) && s.hasAlternative(j, t, n) {
+		if t.hadTroubleOn(n) && s.hasAlternative(j, t, n) {
 			continue
 		}
 		cost := s.noisyCost(n, step) + s.separationCost(t, n)
@@ -162,11 +162,17 @@
 	return 1 - float64(n.free.CPU)/float64(n.capacity.CPU)
 }
 
-// hasAlternative reports whether a worker that has not failed the task could take
-// it, with or without free capacity.
+// hadTroubleOn reports whether a worker failed the task or crashed under it. A worker that
+// crashes for reasons of its own is empty afterwards and looks the best.
+func (t *task) hadTroubleOn(n *node) bool {
+	return slices.Contains(t.failedWorkers, n.address) || slices.Contains(t.crashedWorkers, n.address)
+}
+
+// hasAlternative reports whether a worker without such trouble could take the task, with
+// or without free capacity.
 func (s *Scheduler) hasAlternative(j *job, t *task, excluded *node) bool {
 	for _, n := range s.nodeList {
-		if n != excluded && n.eligible(j.Service, &j.Steps[t.step]) && !slices.Contains(t.failedWorkers, n.address) {
+		if n != excluded && n.eligible(j.Service, &j.Steps[t.step]) && !t.hadTroubleOn(n) {
 			return true
 		}
 	}
