scheduler: Number the rounds of job leases uniquely at an entry

A job that was given up and submitted again at the same entry within a round trip began with round 1 again. Answers to its earlier submission counted for the later one, so that one witness could grant the lease twice and alone.

The numbers of rounds are those of the entry now, not of the job. TestAnswersToAnEarlierSubmissionGrantNothing fails without the change (a start with the answers of one of three witnesses).

--- a/internal/scheduler/jobleases.go
+++ b/internal/scheduler/jobleases.go
@@ -47,6 +47,8 @@
 
 // leaseRound is a request to the witnesses of a job.
 type leaseRound struct {
+	// number is unique at this entry: a job may be submitted here again while answers to
+	// its earlier submission are on their way.
 	number int64
 	sentAt clock.Millis
 	// open is true while the round is neither granted nor refused.
@@ -86,7 +88,8 @@
 // beginLeaseRound requests the lease of a best-effort job, or its renewal.
 func (s *Scheduler) beginLeaseRound(now clock.Millis, j *job) {
 	l := &j.lease
-	l.leaseRound = leaseRound{number: l.number + 1, sentAt: now, open: true, witnesses: s.witnessesOf(now, j.ID)}
+	s.leaseRounds++
+	l.leaseRound = leaseRound{number: s.leaseRounds, sentAt: now, open: true, witnesses: s.witnessesOf(now, j.ID)}
 	switch {
 	case len(l.witnesses) > 0:
 		s.askWitnesses(j, l.quorum())
--- a/internal/scheduler/jobleases_test.go
+++ b/internal/scheduler/jobleases_test.go
@@ -267,3 +267,37 @@
 		})
 	}
 }
+
+// Guards against a lease that one witness alone grants: its answers to two submissions of a
+// job, of which the first was given up before they arrived, counted for the second.
+func TestAnswersToAnEarlierSubmissionGrantNothing(t *testing.T) {
+	w := newWitnesses(3)
+	b := newLeaseTestbed(t, "entry-a", w)
+	w.all(true)
+	var late []scheduler.SendJobLeases
+	b.takeCommands()
+	for range 2 {
+		r := b.submit(job("j", 1, true))
+		for _, c := range b.takeCommands() {
+			if l, ok := c.(scheduler.SendJobLeases); ok {
+				late = append(late, l)
+			}
+		}
+		if len(late) == 2 {
+			b.s.CallerDisconnected(b.now, r, "j")
+			b.tick()
+		}
+	}
+	first := late[0].Sidecar
+	w.all(false)
+	for _, l := range late {
+		if a := scheduler.Address(string(l.Sidecar)[len("sidecar-"):]); l.Sidecar == first {
+			b.s.HandleJobLeaseAnswers(b.now, l.Sidecar, w.handle(b.now, "entry-a", a, l.Requests))
+		}
+	}
+	w.all(true)
+	b.tick()
+	if got := len(b.starts()); got != 0 {
+		t.Errorf("starts with the answers of one of three witnesses: got %d, want 0", got)
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -107,6 +107,8 @@
 	witnesses witnessSet
 	listings  listings
 	nonce     uint64
+	// leaseRounds is the number of the last round of lease requests.
+	leaseRounds int64
 	// notedPending is true if the last note to the other entries had pending jobs.
 	notedPending bool
 	// pools holds the aggregate of each service's workers.
