scheduler: Stop runs whose lease the witnesses have granted to another entry

If two witnesses of a job forgot its lease and granted it to another entry, the entry that ran the job kept its runs until the old lease would have ended: a refused renewal left the lease as it was. Found by reading; no run of processes showed it.

A refusal by a quorum ends the lease at once, and the runs are stopped. Two bounds besides: an entry that waits for a lease asks every 100 to 200 ms after the first refusals instead of every 25 to 50 ms, and only an update of the witnesses that is more than 200 ms late counts as a pause, as entries with a small share of a core are often late by 100 ms.

TestRunIsStoppedWhenTheWitnessesHaveAnotherHolder fails without the change (no stop). The fuzz targets cover the new messages.

--- a/internal/executor/fuzz_test.go
+++ b/internal/executor/fuzz_test.go
@@ -32,6 +32,10 @@
 			return
 		}
 		h := newHarness(t)
+		var l wire.JobLeaseRequests
+		if proto.Unmarshal(data, &l) == nil {
+			h.x.JobLeasesRequested(h.now, entryA, &l)
+		}
 		h.x.OrdersReceived(h.now, entryA, &o)
 		h.advance(20)
 		for _, c := range h.take() {
--- a/internal/scheduler/jobleases.go
+++ b/internal/scheduler/jobleases.go
@@ -13,10 +13,11 @@
 	leaseHedgeDelay = 20 * clock.Millis(1)
 	// leaseRoundTimeout is how long a round waits for answers before the next one.
 	leaseRoundTimeout = 120 * clock.Millis(1)
-	// leaseRetryDelay is the shortest wait before a lease that another entry has is
-	// requested again. Up to as much is added at random, so that two entries that have
-	// one witness each do not meet again.
-	leaseRetryDelay = 25 * clock.Millis(1)
+	// minLeaseRetryDelay is the shortest wait before a lease that another entry has is
+	// requested again; it doubles up to maxLeaseRetryDelay. Up to as much is added at
+	// random, so that two entries that have one witness each do not meet again.
+	minLeaseRetryDelay = 25 * clock.Millis(1)
+	maxLeaseRetryDelay = 100 * clock.Millis(1)
 	// leaseRenewalInterval is the age at which a lease is renewed. Most jobs end before.
 	leaseRenewalInterval = 400 * clock.Millis(1)
 	// leaseStartMargin is how long a lease must last for a start, which then takes
@@ -40,8 +41,8 @@
 type jobLease struct {
 	// until is when the lease ends unless it is renewed, 0 if it was not granted.
 	until clock.Millis
-	// retryAt is when the next round may begin.
-	retryAt clock.Millis
+	// retryAt is when the next round may begin, retryDelay the wait after the last refusal.
+	retryAt, retryDelay clock.Millis
 	leaseRound
 }
 
@@ -148,8 +149,11 @@
 		s.askWitnesses(j, len(l.witnesses))
 		if l.refused > len(l.witnesses)-l.quorum() {
 			s.pendingCommands = append(s.pendingCommands, Decision{Summary: "job held by another entry", Job: j.ID, Value: l.number})
+			// A lease that this entry had is lost, because witnesses have forgotten it.
+			l.until = 0
 			s.failLeaseRound(now, j)
-			l.retryAt = now + leaseRetryDelay + clock.Millis(s.rand.Int64N(int64(leaseRetryDelay)))
+			l.retryDelay = max(minLeaseRetryDelay, min(2*l.retryDelay, maxLeaseRetryDelay))
+			l.retryAt = now + l.retryDelay + clock.Millis(s.rand.Int64N(int64(l.retryDelay)))
 			s.giveUpWithoutLease(now, j)
 		}
 	case wire.JobLeaseAnswer_RESULT_ENDED:
--- a/internal/scheduler/jobleases_test.go
+++ b/internal/scheduler/jobleases_test.go
@@ -301,3 +301,22 @@
 		t.Errorf("starts with the answers of one of three witnesses: got %d, want 0", got)
 	}
 }
+
+// Guards against a run that goes on until its lease would have ended, although the
+// witnesses have forgotten it and granted the lease to another entry.
+func TestRunIsStoppedWhenTheWitnessesHaveAnotherHolder(t *testing.T) {
+	w := newWitnesses(3)
+	a, b := newLeaseTestbed(t, "entry-a", w), newLeaseTestbed(t, "entry-b", w)
+	a.submit(job("j", 1, true))
+	run := a.starts()[0]
+	a.report(run.at, event(run.run, wire.TaskEvent_STATE_RUNNING))
+	for i := range 3 {
+		w.executors[address(i)] = executor.New(1, clock.Second)
+	}
+	b.submit(job("j", 1, true))
+	// The next renewal.
+	a.advanceWith(w, 450)
+	if got := a.stops(); got == 0 {
+		t.Error("stops at the entry that lost the lease: got none")
+	}
+}
--- a/internal/scheduler/witnesses.go
+++ b/internal/scheduler/witnesses.go
@@ -24,8 +24,9 @@
 	// witnessUpdateInterval is the interval between updates of the witnesses.
 	witnessUpdateInterval = 20 * clock.Millis(1)
 	// maxUpdateDelay is how late an update may be. Later ones follow a pause of the process,
-	// after which the sidecars appear silent until their reports have been read.
-	maxUpdateDelay = 100 * clock.Millis(1)
+	// after which sidecars that report every 150 ms appear silent until their reports have
+	// been read.
+	maxUpdateDelay = 200 * clock.Millis(1)
 )
 
 // witness is a sidecar that may record which entry holds the lease of a job. Entries may
