--- a/internal/scheduler/jobleases.go
+++ b/internal/scheduler/jobleases.go
@@ -20,11 +20,11 @@
 	maxLeaseRetryDelay = 100 * clock.Millis(1)
 	// leaseRenewalInterval is the age at which a lease is renewed. Most jobs end before.
 	leaseRenewalInterval = 400 * clock.Millis(1)
-	// leaseStartMargin is how long a lease must last for a start, which then takes
-	// effect within that time.
+	// leaseStartMargin is how long a lease must last for a start. With less, several
+	// renewals have failed, and the run would soon be stopped.
 	leaseStartMargin = 300 * clock.Millis(1)
 	// leaseStopMargin is how long before the end of its lease a job is given up: the
-	// time for its runs to be stopped.
+	// time in which a sidecar stops its runs.
 	leaseStopMargin = 200 * clock.Millis(1)
 	// leaseLastWait is how long a round may be open when the lease is about to end. After
 	// a pause of the process the lease has ended before it could be renewed, and mostly no
@@ -54,10 +54,10 @@
 	sentAt clock.Millis
 	// open is true while the round is neither granted nor refused.
 	open bool
-	// witnesses are those of the job, of which the first asked ones have been asked.
-	witnesses        []*witness
-	asked            int
-	granted, refused int
+	// witnesses are those of the job. Of these, asked counts the ones that have been
+	// asked, in their order, and granted and refused count the answers.
+	witnesses               []*witness
+	asked, granted, refused int
 }
 
 // quorum returns the number of witnesses that must grant the lease. Those of two entries
@@ -101,7 +101,7 @@
 	}
 }
 
-// askWitnesses asks further witnesses until so many have been asked in this round.
+// askWitnesses asks further witnesses until count of them have been asked in this round.
 func (s *Scheduler) askWitnesses(j *job, count int) {
 	l := &j.lease
 	for ; l.asked < min(count, len(l.witnesses)); l.asked++ {
--- a/internal/scheduler/witnesses.go
+++ b/internal/scheduler/witnesses.go
@@ -44,7 +44,7 @@
 // witnessSet holds all sidecars that may be witnesses.
 type witnessSet struct {
 	all []*witness
-	// arrivedAt is when a sidecar last became present.
+	// arrivedAt is when a sidecar last became present, or a pause of the process ended.
 	arrivedAt   clock.Millis
 	hasArrived  bool
 	updateDueAt clock.Millis
