sidecarnode: Let the test's store delete registrations

A planned stop of an emptied sidecar deletes its registration since. The package's tests had not been run after that change. No code of the product changes.

go test ./internal/sidecarnode -count=2 passes.

--- a/internal/sidecarnode/sidecarnode_test.go
+++ b/internal/sidecarnode/sidecarnode_test.go
@@ -120,6 +120,8 @@
 	return platform.TxnResult{Succeeded: true}, nil
 }
 
+func (emptyStore) Delete(context.Context, string) error { return nil }
+
 type noFrameCounter struct{}
 
 func (noFrameCounter) CountFrame(peer.MessageKind, peer.Direction, int) {}
