--- a/internal/proptest/besteffort_test.go
+++ b/internal/proptest/besteffort_test.go
@@ -758,16 +758,16 @@
 // connection arrives at the latest.
 const maxEndDelay = 100 * clock.Millis(1)
 
-// pass lets something pass between a caller and an entry at once, or after a cut and up to
-// so much later.
-func (w *cores) pass(e *coreEntry, later clock.Millis, f func()) {
+// pass delivers something between a caller and an entry by calling f: at once, or after the
+// end of a cut and a random delay below maxDelay.
+func (w *cores) pass(e *coreEntry, maxDelay clock.Millis, f func()) {
 	until := w.callersCutUntil[e.slot]
 	if w.now >= until {
 		f()
 		return
 	}
-	if later > 0 {
-		until += clock.Millis(w.rng.IntN(int(later)))
+	if maxDelay > 0 {
+		until += clock.Millis(w.rng.IntN(int(maxDelay)))
 	}
 	w.after(until-w.now, f)
 }
@@ -876,6 +876,7 @@
 	}
 }
 
+// heldBackSchedules is the number of schedules that TestHeldBackRequestSchedules runs.
 const heldBackSchedules = 600
 
 var coreFaultKinds = []string{"pause-entry", "pause-sidecar", "kill-entry", "kill-sidecar", "kill-worker", "close"}
