scheduler: Don't refuse jobs for overload while most workers are unknown

Callers saw a 503 for overload from an entry that had just started while three of four workers were idle.

The grace period of a starting entry covered only the case that no worker fits. Within the same second, the wait is now not estimated while a registered sidecar has not reported its load.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -16,8 +16,9 @@
 	// allows a job; a job that takes longer is of no use to its caller.
 	drainFactor = lateFactor
 	// startupGracePeriod is how long a starting entry accepts jobs without a known
-	// worker. With all processes started together, the last session was up after
-	// 0.2 s; slow VMs take longer.
+	// worker, and does not estimate the wait from a part of the workers. With all
+	// processes started together, the last session was up after 0.2 s; slow VMs take
+	// longer.
 	startupGracePeriod = 1 * clock.Second
 )
 
@@ -35,11 +36,14 @@
 		return "too many jobs", minRetryAfter
 	}
 	capacity, fits := s.serviceCapacity(b)
+	starting := now < s.startedAt+startupGracePeriod
 	switch {
-	case !fits && now < s.startedAt+startupGracePeriod:
+	case !fits && starting:
 		return "", 0
 	case !fits:
 		return "no worker fits", storeRetryAfter
+	case starting && s.witnesses.hasUnknown():
+		return "", 0
 	}
 	wait := s.expectedWait(b, capacity)
 	longest := 0.0
--- a/internal/scheduler/overload_test.go
+++ b/internal/scheduler/overload_test.go
@@ -1,10 +1,12 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
+	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/scheduler"
 	"github.com/teaseltide/teaseltide/internal/wire"
 	"github.com/teaseltide/teaseltide/pkg/clock"
@@ -251,3 +253,36 @@
 		}
 	}
 }
+
+// Guards against an entry that refuses jobs as overload while it has just started and knows
+// one of the four registered workers: the caller of a job that another entry ran got 503
+// instead of the result.
+func TestStartingEntryKnowsAPartOfTheWorkers(t *testing.T) {
+	b := newTestbed(t, 0)
+	var registered []ownership.Incarnation
+	for i := range 4 {
+		registered = append(registered, sidecar(address(i)))
+	}
+	b.s.SetSidecars(registered)
+	submitMany := func(name string) (refused int) {
+		for i := range 20 {
+			b.submit(job(fmt.Sprint(name, i), 6, true))
+		}
+		for _, r := range b.replies() {
+			if r.Result == scheduler.NotStored {
+				refused++
+			}
+		}
+		return refused
+	}
+	b.connect(address(0), 20_000)
+	if got := submitMany("starting"); got != 0 {
+		t.Errorf("jobs refused with three workers unknown: got %d, want 0", got)
+	}
+	for i := range registered {
+		b.connect(address(i), 20_000)
+	}
+	if got := submitMany("all-known"); got == 0 {
+		t.Error("jobs refused with all workers known: got 0, want some")
+	}
+}
--- a/internal/scheduler/witnesses.go
+++ b/internal/scheduler/witnesses.go
@@ -83,6 +83,11 @@
 	}
 }
 
+// hasUnknown reports whether a registered sidecar has not reported its load yet.
+func (ws *witnessSet) hasUnknown() bool {
+	return slices.ContainsFunc(ws.all, func(w *witness) bool { return w.isListed && (w.node == nil || w.node.load == nil) })
+}
+
 // isUnsupported reports whether sidecars are known and none answers lease requests.
 func (ws *witnessSet) isUnsupported() bool {
 	known := false
