scheduler: Don't count jobs that wait for a lease as load

An entry that waits for the result of a job at another entry counted the job as queued work: it was part of the expected wait by which new jobs are refused, kept the workers marked as crowded, was given up as overload or as too late to start while the other entry ran it, and asked all sidecars for room. A job whose first lease round took longer than 3 ms asked them as well, which costs a message to and from each.

A job that another entry has is none of these now, and demand is reported only for jobs that may start. Their callers still wait no longer than their deadline.

TestJobsOfAnotherEntryAreNoLoad failed before: held jobs given up early, and demand sent for them.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -100,7 +100,7 @@
 func (s *Scheduler) expectedWait(b batch.Job, capacity float64) clock.Millis {
 	ahead := 0.0
 	for _, j := range s.queue {
-		if j.stage == overdue || j.Service != b.Service || j.Priority > b.Priority {
+		if j.stage == overdue || j.Service != b.Service || j.Priority > b.Priority || j.isHeldElsewhere() {
 			continue
 		}
 		ahead += j.pendingWork()
--- a/internal/scheduler/besteffort.go
+++ b/internal/scheduler/besteffort.go
@@ -246,7 +246,7 @@
 			}
 		case now >= j.Deadline:
 			s.abandon(now, j, "deadline", minRetryAfter)
-		case j.pendingTasks == 0:
+		case j.pendingTasks == 0 || j.isHeldElsewhere():
 		case now+j.longestDeclaredRemaining()/2 > j.Deadline:
 			// Declared run times are up to twice too long.
 			s.abandon(now, j, "too late to start", minRetryAfter)
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -32,7 +32,7 @@
 		if i >= maxDemandScan {
 			break
 		}
-		if now-j.acceptedAt < demandDelay || !j.BestEffort && !stored || !s.mayStart(j) {
+		if now-j.acceptedAt < demandDelay || !j.BestEffort && !stored || !s.mayStart(j) || !j.mayRun(now) {
 			continue
 		}
 		for k := range j.Steps {
--- a/internal/scheduler/jobleases.go
+++ b/internal/scheduler/jobleases.go
@@ -41,7 +41,8 @@
 type jobLease struct {
 	// until is when the lease ends unless it is renewed, 0 if it was not granted.
 	until clock.Millis
-	// retryAt is when the next round may begin, retryDelay the wait after the last refusal.
+	// retryAt is when the next round may begin, retryDelay the wait after the last refusal,
+	// 0 if the lease has been granted since.
 	retryAt, retryDelay clock.Millis
 	leaseRound
 }
@@ -86,6 +87,10 @@
 	return !j.BestEffort || now < j.lease.until-leaseStartMargin
 }
 
+// isHeldElsewhere reports whether another entry has the lease of a job. Such a job waits for
+// the result of that entry and not for workers.
+func (j *job) isHeldElsewhere() bool { return j.lease.retryDelay > 0 }
+
 // beginLeaseRound requests the lease of a best-effort job, or its renewal.
 func (s *Scheduler) beginLeaseRound(now clock.Millis, j *job) {
 	l := &j.lease
@@ -114,6 +119,7 @@
 func (s *Scheduler) leaseGranted(l *jobLease) {
 	l.open = false
 	l.until = l.sentAt + s.settings.JobLeaseDuration
+	l.retryDelay = 0
 }
 
 // HandleJobLeaseAnswers handles the answers of a sidecar to lease requests.
--- a/internal/scheduler/jobleases_test.go
+++ b/internal/scheduler/jobleases_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
@@ -320,3 +321,45 @@
 		t.Error("stops at the entry that lost the lease: got none")
 	}
 }
+
+// Guards against callers who are refused for a load that is not there: a job that another
+// entry has counted as queued work, asked workers for room and was given up as overload.
+func TestJobsOfAnotherEntryAreNoLoad(t *testing.T) {
+	w := newWitnesses(3)
+	a, b := newLeaseTestbed(t, "entry-a", w), newLeaseTestbed(t, "entry-b", w)
+	held := make(map[scheduler.Request]bool)
+	for i := range 40 {
+		j := job(fmt.Sprint("held", i), 6, true)
+		a.submit(j)
+		held[b.submit(j)] = true
+	}
+	b.starts()
+	for range 30 {
+		a.advanceWith(w, 50)
+		for i := range 3 {
+			b.workers[address(i)] = 0
+		}
+		b.advanceWith(w, 50)
+	}
+	for r := range b.replies() {
+		if held[r] {
+			t.Error("job that another entry has given up before its deadline")
+			break
+		}
+	}
+	for at, all := range b.sent {
+		for _, o := range all {
+			if o.GetDemand() != 0 {
+				t.Fatalf("demand at %s for jobs that another entry has", at)
+			}
+		}
+	}
+	for i := range 3 {
+		b.workers[address(i)] = 200_000
+	}
+	b.advanceWith(w, 200)
+	late := b.submit(job("new", 1, true))
+	if got, ok := b.replies()[late]; ok {
+		t.Errorf("reply to a new job at an entry with free workers: got %v, want none yet", got.Result)
+	}
+}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -142,7 +142,7 @@
 func (s *Scheduler) trackCrowding(now clock.Millis) {
 	for _, j := range s.queue {
 		p := s.pool(j.Service)
-		if p.crowdedAt == now || !p.isCrowded() {
+		if p.crowdedAt == now || !p.isCrowded() || j.isHeldElsewhere() {
 			continue
 		}
 		p.crowdedAt = now
