control, scheduler, executor: Handle job leases with fewer ticks and messages

A lease request made a sidecar run its whole tick, and each of two grants one at the entry, where only the second allows a start. Control threads now take conditional events: the answer is sent from the event, and a tick follows only an answer that changes something. Releases go with orders to the same sidecar; those of ended jobs wait 100 instead of 50 ms for some, those of jobs without an end still 50 ms, and none waits beyond its lease.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -87,3 +87,49 @@
 		}
 	}
 }
+
+// Guards against a tick after each of the messages that lead to no decision: on large fleets,
+// ticks were most of the processor time of such a message.
+func TestConditionalEventsNeedNoTick(t *testing.T) {
+	thread := control.New(clock.NewSystem(), nil)
+	ticks, applied := 0, 0
+	for i := range 100 {
+		thread.PushConditional(func(clock.Millis) bool {
+			applied++
+			return i == 99
+		})
+	}
+	thread.Run(context.Background(), time.Hour, func(clock.Millis) {}, func(clock.Millis) bool {
+		ticks++
+		return applied < 100
+	})
+	if ticks != 1 || applied != 100 {
+		t.Errorf("ticks and events: got %d and %d, want 1 and 100", ticks, applied)
+	}
+	silent := control.New(clock.NewSystem(), nil)
+	done := make(chan struct{})
+	silent.PushConditional(func(clock.Millis) bool {
+		close(done)
+		return false
+	})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		silent.Run(context.Background(), time.Hour, func(clock.Millis) {}, func(clock.Millis) bool {
+			select {
+			case <-done:
+			default:
+				t.Error("tick before the event")
+			}
+			return false
+		})
+	}()
+	<-done
+	select {
+	case <-ended:
+		t.Error("tick after an event that needs none")
+	case <-time.After(20 * time.Millisecond):
+	}
+	silent.Push(func(clock.Millis) {})
+	<-ended
+}
--- a/internal/entrynode/sessions.go
+++ b/internal/entrynode/sessions.go
@@ -62,19 +62,20 @@
 
 // Message implements peer.Handler.
 func (h sessionHandler) Message(s *peer.Session, e *wire.Envelope) {
-	h.p.push(func(now clock.Millis) {
+	h.p.control.PushConditional(func(now clock.Millis) bool {
 		switch {
 		case h.role == entryPeer && h.p.entrySessions[s.Peer()] == s && e.GetEntryNote() != nil:
 			h.p.core.HandleEntryNote(now, s.Peer(), e.GetEntryNote())
 		case h.role == sidecarPeer && h.p.sidecarSessions[s.Peer()] == s && e.GetTaskReport() != nil:
 			if e.GetTaskReport().GetDeposed() {
 				h.p.deposed.Store(true)
-				return
+				return true
 			}
 			h.p.core.HandleReport(now, s.Peer(), e.GetTaskReport())
 		case h.role == sidecarPeer && h.p.sidecarSessions[s.Peer()] == s && e.GetJobLeaseAnswers() != nil:
-			h.p.core.HandleJobLeaseAnswers(now, s.Peer(), e.GetJobLeaseAnswers())
+			return h.p.core.HandleJobLeaseAnswers(now, s.Peer(), e.GetJobLeaseAnswers())
 		}
+		return true
 	})
 }
 
--- a/internal/executor/commands.go
+++ b/internal/executor/commands.go
@@ -161,12 +161,6 @@
 	Report *wire.TaskReport
 }
 
-// AnswerJobLeases answers the lease requests of an entry.
-type AnswerJobLeases struct {
-	Entry   ownership.Incarnation
-	Answers *wire.JobLeaseAnswers
-}
-
 // LeaseExpiring reports that the worker's lease is no longer renewed, because the
 // grant of an entry that owns a run here has expired.
 type LeaseExpiring struct {
@@ -194,14 +188,13 @@
 // incarnation of the worker.
 type ListNow struct{}
 
-func (PersistWorker) command()   {}
-func (ListNow) command()         {}
-func (StartRun) command()        {}
-func (StopRun) command()         {}
-func (RunEnded) command()        {}
-func (OrderRefused) command()    {}
-func (StartResolved) command()   {}
-func (Report) command()          {}
-func (AnswerJobLeases) command() {}
-func (LeaseExpiring) command()   {}
-func (WorkerReplaced) command()  {}
+func (PersistWorker) command()  {}
+func (ListNow) command()        {}
+func (StartRun) command()       {}
+func (StopRun) command()        {}
+func (RunEnded) command()       {}
+func (OrderRefused) command()   {}
+func (StartResolved) command()  {}
+func (Report) command()         {}
+func (LeaseExpiring) command()  {}
+func (WorkerReplaced) command() {}
--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -100,6 +100,7 @@
 	}
 	e.loose = o.GetLoose()
 	x.updateDemand(now, from, e, o)
+	x.releaseJobLeases(now, from, o.GetJobLeaseReleases())
 	for _, s := range o.GetAdopts() {
 		x.adopt(from, s)
 	}
--- a/internal/executor/jobleases.go
+++ b/internal/executor/jobleases.go
@@ -25,19 +25,18 @@
 	end wire.StoredEnd_State
 }
 
-// JobLeasesRequested handles the lease requests and releases of an entry.
-func (x *Executor) JobLeasesRequested(now clock.Millis, from ownership.Incarnation, requests *wire.JobLeaseRequests) {
-	for _, r := range requests.GetReleases() {
-		x.releaseJobLease(now, from, r)
-	}
+// JobLeasesRequested handles the lease requests and releases of an entry and returns the
+// answers, nil without requests. No tick needs to follow.
+func (x *Executor) JobLeasesRequested(now clock.Millis, from ownership.Incarnation, requests *wire.JobLeaseRequests) *wire.JobLeaseAnswers {
+	x.releaseJobLeases(now, from, requests.GetReleases())
 	if len(requests.GetRequests()) == 0 {
-		return
+		return nil
 	}
 	answers := &wire.JobLeaseAnswers{}
 	for _, r := range requests.GetRequests() {
 		answers.Answers = append(answers.Answers, x.requestJobLease(now, from, r))
 	}
-	x.commands = append(x.commands, AnswerJobLeases{Entry: from, Answers: answers})
+	return answers
 }
 
 func (x *Executor) requestJobLease(now clock.Millis, from ownership.Incarnation, r *wire.JobLeaseRequest) *wire.JobLeaseAnswer {
@@ -56,6 +55,12 @@
 	return answer
 }
 
+func (x *Executor) releaseJobLeases(now clock.Millis, from ownership.Incarnation, releases []*wire.JobLeaseRelease) {
+	for _, r := range releases {
+		x.releaseJobLease(now, from, r)
+	}
+}
+
 // releaseJobLease ends an entry's lease and records the end of the job, if it has one.
 func (x *Executor) releaseJobLease(now clock.Millis, from ownership.Incarnation, r *wire.JobLeaseRelease) {
 	id := batch.JobID(r.GetJob())
--- a/internal/executor/jobleases_test.go
+++ b/internal/executor/jobleases_test.go
@@ -18,20 +18,12 @@
 // requestLease requests the lease of a job and returns the result.
 func (h *harness) requestLease(from ownership.Incarnation, job string) wire.JobLeaseAnswer_Result {
 	h.t.Helper()
-	h.commands = nil
-	h.x.JobLeasesRequested(h.now, from, &wire.JobLeaseRequests{Requests: []*wire.JobLeaseRequest{{Job: job, Round: 7}}})
-	h.tick()
-	for _, c := range h.commands {
-		if a, ok := c.(executor.AnswerJobLeases); ok && a.Entry == from {
-			answer := a.Answers.GetAnswers()[0]
-			if answer.GetJob() != job || answer.GetRound() != 7 {
-				h.t.Errorf("answer: got job %s round %d, want %s and 7", answer.GetJob(), answer.GetRound(), job)
-			}
-			return answer.GetResult()
-		}
+	requests := &wire.JobLeaseRequests{Requests: []*wire.JobLeaseRequest{{Job: job, Round: 7}}}
+	answers := h.x.JobLeasesRequested(h.now, from, requests).GetAnswers()
+	if len(answers) != 1 || answers[0].GetJob() != job || answers[0].GetRound() != 7 {
+		h.t.Fatalf("answers: got %v, want one to job %s and round 7", answers, job)
 	}
-	h.t.Fatal("no answer to a lease request")
-	return 0
+	return answers[0].GetResult()
 }
 
 func (h *harness) releaseLease(from ownership.Incarnation, job string, end wire.StoredEnd_State) {
@@ -75,3 +67,20 @@
 		})
 	}
 }
+
+// Guards against a lease that an entry keeps although its orders released it.
+func TestOrdersReleaseJobLeases(t *testing.T) {
+	h := newHarness(t)
+	h.x.EntryConnected(entryB)
+	h.requestLease(entryA, "given-up")
+	h.requestLease(entryA, "ended")
+	h.x.OrdersReceived(h.now, entryA, &wire.TaskOrders{JobLeaseReleases: []*wire.JobLeaseRelease{
+		{Job: "given-up"}, {Job: "ended", End: wire.StoredEnd_STATE_COMPLETE},
+	}})
+	if got := h.requestLease(entryB, "given-up"); got != granted {
+		t.Errorf("request for a job that was given up: got %v, want %v", got, granted)
+	}
+	if got := h.requestLease(entryB, "ended"); got != over {
+		t.Errorf("request for a job that has ended: got %v, want %v", got, over)
+	}
+}
--- a/internal/loadtest/fleet_test.go
+++ b/internal/loadtest/fleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/teaseltide/teaseltide/internal/executor"
 	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/scheduler"
+	"github.com/teaseltide/teaseltide/internal/wire"
 	"github.com/teaseltide/teaseltide/pkg/clock"
 )
 
@@ -376,8 +377,7 @@
 		for _, s := range f.sidecars {
 			if s.id == c.Sidecar {
 				f.after(linkDelay, func() {
-					s.core.JobLeasesRequested(f.now, e.id, c.Requests)
-					s.dirty = true
+					f.answerJobLeases(s, e.id, s.core.JobLeasesRequested(f.now, e.id, c.Requests))
 				})
 			}
 		}
@@ -444,15 +444,20 @@
 				})
 			}
 		}
-	case executor.AnswerJobLeases:
-		f.countMessage()
-		for _, e := range f.entries {
-			if e.id == command.Entry {
-				f.after(linkDelay, func() {
-					e.core.HandleJobLeaseAnswers(f.now, c.id, command.Answers)
-					e.dirty = true
-				})
-			}
+	}
+}
+
+// answerJobLeases delivers a sidecar's answers to lease requests, if there are any.
+func (f *fleet) answerJobLeases(c *sidecar, to ownership.Incarnation, answers *wire.JobLeaseAnswers) {
+	if answers == nil {
+		return
+	}
+	f.countMessage()
+	for _, e := range f.entries {
+		if e.id == to {
+			f.after(linkDelay, func() {
+				e.dirty = e.core.HandleJobLeaseAnswers(f.now, c.id, answers) || e.dirty
+			})
 		}
 	}
 }
--- a/internal/proptest/besteffort_test.go
+++ b/internal/proptest/besteffort_test.go
@@ -272,7 +272,7 @@
 	case scheduler.SendOrders:
 		e.send(c.Sidecar, func(x *coreSidecar) { x.core.OrdersReceived(e.w.now, e.id, c.Orders) })
 	case scheduler.SendJobLeases:
-		e.send(c.Sidecar, func(x *coreSidecar) { x.core.JobLeasesRequested(e.w.now, e.id, c.Requests) })
+		e.send(c.Sidecar, func(x *coreSidecar) { x.answerJobLeases(e.id, x.core.JobLeasesRequested(e.w.now, e.id, c.Requests)) })
 	case scheduler.Decision:
 		if c.Job != "" {
 			e.w.logf("%s job %s %s %s", e.id, c.Job, c.Summary, c.Reason)
@@ -474,6 +474,23 @@
 	})
 }
 
+// answerJobLeases delivers answers to lease requests, if there are any.
+func (x *coreSidecar) answerJobLeases(to ownership.Incarnation, answers *wire.JobLeaseAnswers) {
+	if answers == nil {
+		return
+	}
+	for i := range coreEntries {
+		s := x.w.sessions[[2]int{i, x.slot}]
+		if s != nil && s.sidecar == x && s.entry.id == to && s.sidecarOpen {
+			s.deliver(1, func() {
+				if s.entryOpen && s.entry.core.HandleJobLeaseAnswers(x.w.now, x.id, answers) {
+					s.entry.tick()
+				}
+			})
+		}
+	}
+}
+
 func (x *coreSidecar) execute(c executor.Command) {
 	w := x.w
 	switch c := c.(type) {
@@ -490,18 +507,6 @@
 		x.stop(c, 3)
 	case executor.ListNow:
 		x.list()
-	case executor.AnswerJobLeases:
-		for i := range coreEntries {
-			s := w.sessions[[2]int{i, x.slot}]
-			if s != nil && s.sidecar == x && s.entry.id == c.Entry && s.sidecarOpen {
-				s.deliver(1, func() {
-					if s.entryOpen {
-						s.entry.core.HandleJobLeaseAnswers(w.now, x.id, c.Answers)
-						s.entry.tick()
-					}
-				})
-			}
-		}
 	case executor.Report:
 		for i := range coreEntries {
 			s := w.sessions[[2]int{i, x.slot}]
--- a/internal/scheduler/jobleases.go
+++ b/internal/scheduler/jobleases.go
@@ -30,8 +30,12 @@
 	// a pause of the process the lease has ended before it could be renewed, and mostly no
 	// other entry has it.
 	leaseLastWait = 60 * clock.Millis(1)
-	// leaseReleaseDelay is how long releases wait to be sent together.
+	// leaseReleaseDelay is how long releases of jobs without an end wait for other
+	// messages to the same sidecar. Another entry may wait to run such a job.
 	leaseReleaseDelay = 50 * clock.Millis(1)
+	// endedReleaseDelay replaces it for jobs that have ended: only a caller that came
+	// again while the job ran waits for that, and most sidecars get orders meanwhile.
+	endedReleaseDelay = 100 * clock.Millis(1)
 )
 
 // jobLease is the lease under which an entry runs a best-effort job. Several entries may
@@ -122,12 +126,14 @@
 	l.retryDelay = 0
 }
 
-// HandleJobLeaseAnswers handles the answers of a sidecar to lease requests.
-func (s *Scheduler) HandleJobLeaseAnswers(now clock.Millis, from ownership.Incarnation, answers *wire.JobLeaseAnswers) {
+// HandleJobLeaseAnswers handles the answers of a sidecar to lease requests. It reports
+// whether a tick must follow; none need follow the first of two grants.
+func (s *Scheduler) HandleJobLeaseAnswers(now clock.Millis, from ownership.Incarnation, answers *wire.JobLeaseAnswers) bool {
 	n := s.sessions[from]
 	if n == nil {
-		return
+		return false
 	}
+	tickDue := false
 	for _, a := range answers.GetAnswers() {
 		j := s.jobs[batch.JobID(a.GetJob())]
 		switch {
@@ -136,8 +142,10 @@
 		case j == nil || !j.BestEffort || !j.lease.open || j.lease.number != a.GetRound():
 		default:
 			s.handleLeaseAnswer(now, j, a)
+			tickDue = tickDue || !j.lease.open || a.GetResult() != wire.JobLeaseAnswer_RESULT_GRANTED
 		}
 	}
+	return tickDue
 }
 
 func (s *Scheduler) handleLeaseAnswer(now clock.Millis, j *job, a *wire.JobLeaseAnswer) {
@@ -206,6 +214,16 @@
 	}
 }
 
+// releaseEndedJobLease releases the lease of a job that has ended or been given up, before
+// the lease is over.
+func (s *Scheduler) releaseEndedJobLease(now clock.Millis, j *job) {
+	end, flushAt := endedStateToWire(s.ended[j.ID].state), now+leaseReleaseDelay
+	if end != wire.StoredEnd_STATE_UNSPECIFIED {
+		flushAt = now + endedReleaseDelay
+	}
+	s.releaseJobLease(j, end, min(flushAt, j.lease.until-leaseStopMargin))
+}
+
 // releaseJobLease releases the lease of a job at its witnesses that were asked. The
 // releases are sent by flushAt.
 func (s *Scheduler) releaseJobLease(j *job, end wire.StoredEnd_State, flushAt clock.Millis) {
@@ -224,8 +242,15 @@
 	n.leases.releases = append(n.leases.releases, &wire.JobLeaseRelease{Job: string(id), End: end})
 }
 
+// takeReleases returns the pending releases, which the caller sends.
+func (p *pendingLeases) takeReleases() []*wire.JobLeaseRelease {
+	out := p.releases
+	p.releases = nil
+	return out
+}
+
 // flushJobLeases sends the pending lease requests, and the releases with them or once
-// they are due.
+// they are due. Orders take the releases along before.
 func (s *Scheduler) flushJobLeases(now clock.Millis) {
 	for _, n := range s.nodeList {
 		p := &n.leases
--- a/internal/scheduler/jobleases_test.go
+++ b/internal/scheduler/jobleases_test.go
@@ -32,14 +32,7 @@
 	if w.silent[a] {
 		return nil
 	}
-	x := w.executors[a]
-	x.JobLeasesRequested(now, from, requests)
-	for _, c := range x.Tick(now) {
-		if answers, ok := c.(executor.AnswerJobLeases); ok {
-			return answers.Answers
-		}
-	}
-	return nil
+	return w.executors[a].JobLeasesRequested(now, from, requests)
 }
 
 // all makes all sidecars silent or not.
@@ -363,3 +356,41 @@
 		t.Errorf("reply to a new job at an entry with free workers: got %v, want none yet", got.Result)
 	}
 }
+
+// Guards against the end of a job that its witnesses learn only when the lease is over, by
+// when another entry would run the job again, and against a message of its own for it while
+// there are orders for the same sidecar.
+func TestReleasesAreSentWithOrders(t *testing.T) {
+	for name, ordersFollow := range map[string]bool{"orders": true, "no orders": false} {
+		t.Run(name, func(t *testing.T) {
+			w := newWitnesses(3)
+			b := newLeaseTestbed(t, "entry-a", w)
+			b.submit(job("j", 1, true))
+			run := b.starts()[0]
+			b.takeCommands()
+			b.report(run.at, event(run.run, wire.TaskEvent_STATE_DONE))
+			if ordersFollow {
+				other := job("next", 6, true)
+				other.Steps[0].Required.CPU = 100_000
+				b.submit(other)
+			}
+			b.advanceWith(w, 120)
+			withOrders, all := 0, 0
+			for _, c := range b.takeCommands() {
+				switch c := c.(type) {
+				case scheduler.SendOrders:
+					withOrders += len(c.Orders.GetJobLeaseReleases())
+					all += len(c.Orders.GetJobLeaseReleases())
+				case scheduler.SendJobLeases:
+					all += len(c.Requests.GetReleases())
+				}
+			}
+			if all != 2 {
+				t.Errorf("releases: got %d, want 2", all)
+			}
+			if ordersFollow && withOrders == 0 {
+				t.Error("releases with orders: got none")
+			}
+		})
+	}
+}
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -340,6 +340,7 @@
 		orders.StoredWithheld = storedWithheld
 		orders.Demand, orders.DemandCpu = unmet.urgency, unmet.cpu
 		orders.Loose = n.outsideSubset
+		orders.JobLeaseReleases = n.leases.takeReleases()
 		n.outsideSubsetSent = n.outsideSubset
 		if n.sentDemand != unmet.urgency {
 			n.sentDemand, n.sentDemandAt = unmet.urgency, now
--- a/internal/sidecarnode/sessions.go
+++ b/internal/sidecarnode/sessions.go
@@ -26,19 +26,23 @@
 
 // Message implements peer.Handler.
 func (h handler) Message(s *peer.Session, e *wire.Envelope) {
-	orders, leases := e.GetTaskOrders(), e.GetJobLeaseRequests()
-	if orders == nil && leases == nil {
-		return
+	if orders := e.GetTaskOrders(); orders != nil {
+		h.p.push(func(now clock.Millis) {
+			if h.p.sessions[s.Peer()] == s {
+				h.p.core.OrdersReceived(now, s.Peer(), orders)
+			}
+		})
+	}
+	if requests := e.GetJobLeaseRequests(); requests != nil {
+		h.p.control.PushConditional(func(now clock.Millis) bool {
+			if h.p.sessions[s.Peer()] == s {
+				if answers := h.p.core.JobLeasesRequested(now, s.Peer(), requests); answers != nil {
+					h.p.send(s.Peer(), wire.Wrap(answers))
+				}
+			}
+			return false
+		})
 	}
-	h.p.push(func(now clock.Millis) {
-		switch {
-		case h.p.sessions[s.Peer()] != s:
-		case orders != nil:
-			h.p.core.OrdersReceived(now, s.Peer(), orders)
-		default:
-			h.p.core.JobLeasesRequested(now, s.Peer(), leases)
-		}
-	})
 }
 
 // PeerRevisions implements peer.Handler.
--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -217,8 +217,6 @@
 		p.recordResolved(c)
 	case executor.Report:
 		p.send(c.Entry, wire.Wrap(c.Report))
-	case executor.AnswerJobLeases:
-		p.send(c.Entry, wire.Wrap(c.Answers))
 	case executor.LeaseExpiring:
 		p.deps.Log.Warn("lease left to lapse", zap.String("entry", string(c.Entry)), zap.Int64("granted-until-ms", int64(c.GrantEndedAt)), runField(c.Run))
 	case executor.WorkerReplaced:
