scheduler: Visit only sidecars with lease messages when these are sent

Each tick looked at all sidecars for pending lease requests and releases. The sidecars with messages are in a list now.

--- a/internal/scheduler/jobleases.go
+++ b/internal/scheduler/jobleases.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"slices"
+
 	"github.com/teaseltide/teaseltide/internal/batch"
 	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/wire"
@@ -83,6 +85,8 @@
 	releases []*wire.JobLeaseRelease
 	// flushAt is when the releases are sent at the latest.
 	flushAt clock.Millis
+	// queued is true while the sidecar is in Scheduler.leaseQueue.
+	queued bool
 }
 
 // mayRun reports whether runs of a job may be started under its lease. Stored jobs need
@@ -115,6 +119,7 @@
 	l := &j.lease
 	for ; l.asked < min(count, len(l.witnesses)); l.asked++ {
 		if n := l.witnesses[l.asked].node; n != nil {
+			s.queueLeaseMessage(n)
 			n.leases.requests = append(n.leases.requests, &wire.JobLeaseRequest{Job: string(j.ID), Round: l.number})
 		}
 	}
@@ -138,7 +143,7 @@
 		j := s.jobs[batch.JobID(a.GetJob())]
 		switch {
 		case j == nil && a.GetResult() == wire.JobLeaseAnswer_RESULT_GRANTED:
-			n.releaseJobLease(batch.JobID(a.GetJob()), wire.StoredEnd_STATE_UNSPECIFIED, now)
+			s.releaseJobLeaseAt(n, batch.JobID(a.GetJob()), wire.StoredEnd_STATE_UNSPECIFIED, now)
 		case j == nil || !j.BestEffort || !j.lease.open || j.lease.number != a.GetRound():
 		default:
 			s.handleLeaseAnswer(now, j, a)
@@ -229,12 +234,13 @@
 func (s *Scheduler) releaseJobLease(j *job, end wire.StoredEnd_State, flushAt clock.Millis) {
 	for _, w := range j.lease.witnesses[:j.lease.asked] {
 		if w.node != nil {
-			w.node.releaseJobLease(j.ID, end, flushAt)
+			s.releaseJobLeaseAt(w.node, j.ID, end, flushAt)
 		}
 	}
 }
 
-func (n *node) releaseJobLease(id batch.JobID, end wire.StoredEnd_State, flushAt clock.Millis) {
+func (s *Scheduler) releaseJobLeaseAt(n *node, id batch.JobID, end wire.StoredEnd_State, flushAt clock.Millis) {
+	s.queueLeaseMessage(n)
 	if len(n.leases.releases) == 0 {
 		n.leases.flushAt = flushAt
 	}
@@ -249,19 +255,28 @@
 	return out
 }
 
+// queueLeaseMessage adds a sidecar to those that are to be sent lease requests or releases.
+func (s *Scheduler) queueLeaseMessage(n *node) {
+	if !n.leases.queued {
+		n.leases.queued = true
+		s.leaseQueue = append(s.leaseQueue, n)
+	}
+}
+
 // flushJobLeases sends the pending lease requests, and the releases with them or once
 // they are due. Orders take the releases along before.
 func (s *Scheduler) flushJobLeases(now clock.Millis) {
-	for _, n := range s.nodeList {
+	s.leaseQueue = slices.DeleteFunc(s.leaseQueue, func(n *node) bool {
 		p := &n.leases
-		if len(p.requests) == 0 && (len(p.releases) == 0 || now < p.flushAt) {
-			continue
+		if len(p.requests) == 0 && len(p.releases) > 0 && now < p.flushAt {
+			return false
 		}
-		if n.connected {
+		if n.connected && len(p.requests)+len(p.releases) > 0 {
 			s.pendingCommands = append(s.pendingCommands, SendJobLeases{Sidecar: n.incarnation, Requests: &wire.JobLeaseRequests{Requests: p.requests, Releases: p.releases}})
 		}
 		*p = pendingLeases{}
-	}
+		return true
+	})
 }
 
 // endedState returns the state of a job that has ended.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -109,6 +109,8 @@
 	nonce     uint64
 	// leaseRounds is the number of the last round of lease requests.
 	leaseRounds int64
+	// leaseQueue holds the sidecars that are to be sent lease requests or releases.
+	leaseQueue []*node
 	// notedPending is true if the last note to the other entries had pending jobs.
 	notedPending bool
 	// pools holds the aggregate of each service's workers.
