scheduler: Scan the queue for demand once per tick

The checks that are the same for all sidecars are made once per tick now, and a worker's pool is found without a lookup.

--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -22,19 +22,24 @@
 	cpu     int64
 }
 
-// demandFor returns the most urgent pending task that would start on a worker.
+// updateDemandJobs updates the queued jobs that may start as soon as a worker has room.
+func (s *Scheduler) updateDemandJobs(now clock.Millis) {
+	stored := s.mayOrderStored(now)
+	s.demandJobs = s.demandJobs[:0]
+	for _, j := range s.queue[:min(len(s.queue), maxDemandScan)] {
+		if now-j.acceptedAt >= demandDelay && (j.BestEffort || stored) && s.mayStart(j) && j.mayRun(now) {
+			s.demandJobs = append(s.demandJobs, j)
+		}
+	}
+}
+
+// demandFor returns the most urgent pending task of demandJobs that would start on a
+// worker.
 func (s *Scheduler) demandFor(now clock.Millis, n *node) demand {
 	if n.outsideSubset && !n.inDemandSample {
 		return demand{}
 	}
-	stored := s.mayOrderStored(now)
-	for i, j := range s.queue {
-		if i >= maxDemandScan {
-			break
-		}
-		if now-j.acceptedAt < demandDelay || !j.BestEffort && !stored || !s.mayStart(j) || !j.mayRun(now) {
-			continue
-		}
+	for _, j := range s.demandJobs {
 		for k := range j.Steps {
 			step := &j.Steps[k]
 			if j.remaining[k] == 0 || !n.eligible(j.Service, step) || !n.capacity.Covers(step.Required) || !n.finishesInTime(now, j, step) {
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -96,6 +96,9 @@
 	// grantsJobLeases is true if the sidecar answers lease requests.
 	grantsJobLeases bool
 	leases          pendingLeases
+	// pool is the one of poolService, which the worker served last.
+	pool        *pool
+	poolService string
 	health
 }
 
@@ -318,6 +321,7 @@
 	if len(s.queue) > 0 {
 		s.sampleDemand(now)
 	}
+	s.updateDemandJobs(now)
 	for _, n := range s.nodeList {
 		if !n.connected {
 			n.pendingOrders = nil
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -91,7 +91,7 @@
 		if !n.connected || n.load == nil {
 			continue
 		}
-		p := s.pool(n.load.GetService())
+		p := s.poolOf(n)
 		if slownessDue {
 			n.forgetSlowness(now)
 		}
@@ -108,6 +108,14 @@
 	s.trackCrowding(now)
 }
 
+// poolOf returns the pool of a worker that has reported its load.
+func (s *Scheduler) poolOf(n *node) *pool {
+	if n.pool == nil || n.poolService != n.load.GetService() {
+		n.pool, n.poolService = s.pool(n.load.GetService()), n.load.GetService()
+	}
+	return n.pool
+}
+
 // recordService records the service for which a worker takes tasks. Subsets are
 // selected by service.
 func (s *Scheduler) recordService(now clock.Millis, n *node) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -91,6 +91,9 @@
 	// stored is the number of stored jobs in jobs.
 	stored       int
 	subsetUpdate subsetRefresh
+	// demandJobs are the queued jobs that may start as soon as a worker has room, as of
+	// this tick.
+	demandJobs []*job
 	// demandSample holds the workers outside the subset that are sent demand until
 	// demandSampleUntil.
 	demandSample      [demandSampleSize]*node
