scheduler: Count workers that are not ready as unknown in an entry's first second

The other three sidecars were connected and had reported their load, but not that their worker was ready: the log shows starts on one sidecar only for the next 200 ms.

In the first second of an entry, the wait is not estimated until all registered workers are ready. The extended TestStartingEntryKnowsAPartOfTheWorkers failed before: 20 of 20 jobs refused with three workers not ready.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -42,7 +42,7 @@
 		return "", 0
 	case !fits:
 		return "no worker fits", storeRetryAfter
-	case starting && s.witnesses.hasUnknown():
+	case starting && s.witnesses.hasUnready():
 		return "", 0
 	}
 	wait := s.expectedWait(b, capacity)
--- a/internal/scheduler/overload_test.go
+++ b/internal/scheduler/overload_test.go
@@ -279,6 +279,13 @@
 	if got := submitMany("starting"); got != 0 {
 		t.Errorf("jobs refused with three workers unknown: got %d, want 0", got)
 	}
+	for i := range 3 {
+		b.connect(address(1+i), 20_000)
+		b.send(address(1+i), &wire.TaskReport{Load: &wire.WorkerLoad{Cpu: 20_000, MemoryMb: 1000, Service: "s"}})
+	}
+	if got := submitMany("not-ready"); got != 0 {
+		t.Errorf("jobs refused with three workers not ready: got %d, want 0", got)
+	}
 	for i := range registered {
 		b.connect(address(i), 20_000)
 	}
--- a/internal/scheduler/witnesses.go
+++ b/internal/scheduler/witnesses.go
@@ -83,9 +83,12 @@
 	}
 }
 
-// hasUnknown reports whether a registered sidecar has not reported its load yet.
-func (ws *witnessSet) hasUnknown() bool {
-	return slices.ContainsFunc(ws.all, func(w *witness) bool { return w.isListed && (w.node == nil || w.node.load == nil) })
+// hasUnready reports whether the worker of a registered sidecar is not known to be ready.
+// A sidecar that starts reports its load before its worker is.
+func (ws *witnessSet) hasUnready() bool {
+	return slices.ContainsFunc(ws.all, func(w *witness) bool {
+		return w.isListed && (w.node == nil || !w.node.load.GetReady())
+	})
 }
 
 // isUnsupported reports whether sidecars are known and none answers lease requests.
