--- a/internal/scheduler/besteffort.go
+++ b/internal/scheduler/besteffort.go
@@ -200,7 +200,7 @@
 // anew if a resubmission is pending.
 func (s *Scheduler) removeBestEffort(now clock.Millis, j *job) {
 	s.removeJob(j)
-	s.releaseEndedJobLease(now, j)
+	s.closeJobLease(now, j)
 	if _, ended := s.ended[j.ID]; !ended && (j.ranBefore || j.hasRun()) {
 		a := abandonedJob{at: now, attempt: j.baseAttempt}
 		for i := range j.tasks {
--- a/internal/scheduler/jobleases.go
+++ b/internal/scheduler/jobleases.go
@@ -132,7 +132,7 @@
 }
 
 // HandleJobLeaseAnswers handles the answers of a sidecar to lease requests. It reports
-// whether a tick must follow; none need follow the first of two grants.
+// whether a tick must follow, which is not so after the first of two grants.
 func (s *Scheduler) HandleJobLeaseAnswers(now clock.Millis, from ownership.Incarnation, answers *wire.JobLeaseAnswers) bool {
 	n := s.sessions[from]
 	if n == nil {
@@ -219,9 +219,9 @@
 	}
 }
 
-// releaseEndedJobLease releases the lease of a job that has ended or been given up, before
-// the lease is over.
-func (s *Scheduler) releaseEndedJobLease(now clock.Millis, j *job) {
+// closeJobLease releases the lease of a job that has ended or been given up. The releases
+// are sent before the lease is over.
+func (s *Scheduler) closeJobLease(now clock.Millis, j *job) {
 	end, flushAt := endedStateToWire(s.ended[j.ID].state), now+leaseReleaseDelay
 	if end != wire.StoredEnd_STATE_UNSPECIFIED {
 		flushAt = now + endedReleaseDelay
