--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -17,6 +17,7 @@
 	cases["accelerator"] = accelerator
 	cases["waiting"] = waiting
 	cases["blocked"] = blocked
+	cases["cursor"] = cursor
 }
 
 // current is the system of the case, which main closes.
@@ -515,3 +516,82 @@
 	time.Sleep(finish)
 	return s.checkStalled(ids, stalls, task)
 }
+
+// cursor kills the sidecar of a worker shortly before runs end there, while the store turns
+// its machine away, so that the entries find the new sidecar late. The traffic goes on.
+func cursor(rec *record, folder string) ([]string, error) {
+	const (
+		first   = "00000000000000c0"
+		takes   = 5 * time.Second
+		short   = 200 * time.Millisecond
+		turned  = 8 * time.Second
+		traffic = 25 * time.Second
+		finish  = 14 * time.Second
+		stalls  = 3 * time.Second
+	)
+	s, err := begin(rec, folder, size{
+		entries: 3, workers: cpuWorkers(3), config: configuration(4, targetLatency),
+		decide: func(_ *worker, task string, _ int64) plan {
+			if jobOf(task) == first {
+				return plan{takes, endDone}
+			}
+			return plan{short, endDone}
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	p, w := s.sidecars[0], s.workers[0]
+	if !s.submit(0, first, jobBody("quote", phase{Count: 24, CPU: 6200, Memory: 64, Estimated: takes.Milliseconds()}), 10*time.Second) {
+		return nil, errors.New("job not accepted")
+	}
+	time.Sleep(takes - 300*time.Millisecond)
+	if trouble {
+		rec.note("the store turns %s away; worker %s has %d active runs", p.name, w.id, w.active())
+		p.front.refuse.Store(true)
+		time.AfterFunc(turned, func() {
+			p.front.refuse.Store(false)
+			rec.note("the store serves %s again", p.name)
+		})
+		if err = p.restart(); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(turned + 4*time.Second)
+	var ids []string
+	until := time.Now().Add(traffic)
+	for i := 0; time.Now().Before(until); i++ {
+		id := fmt.Sprintf("00000000000e%04x", i)
+		body := jobBody("quote", phase{Count: 16, CPU: 1000, Memory: 64, Estimated: short.Milliseconds()})
+		if s.submit(i, id, body, 2*time.Second) {
+			ids = append(ids, id)
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+	rec.note("the traffic ends; worker %s has %d ends without acknowledgement", w.id, w.unacknowledged())
+	time.Sleep(finish)
+	open := func() map[string]bool {
+		jobs := make(map[string]bool)
+		for _, id := range append(ids, first) {
+			if state := s.state(id); state != "complete" {
+				jobs[id] = true
+			}
+		}
+		return jobs
+	}
+	before := open()
+	from, runs := time.Now(), len(rec.all())
+	time.Sleep(stalls)
+	used := 0
+	for _, w := range s.workers {
+		used += w.active()
+	}
+	rec.note("for %v: %d runs started, %d active at the end; worker %s has %d ends without acknowledgement", time.Since(from), len(rec.all())-runs, used, w.id, w.unacknowledged())
+	var broken []string
+	for id := range open() {
+		if before[id] && used == 0 && len(rec.all()) == runs {
+			broken = append(broken, fmt.Sprintf("job %s is not complete %v after the end of the traffic, and nothing runs", id, finish+stalls))
+		}
+	}
+	return broken, nil
+}
--- a/review/rig-2/record.go
+++ b/review/rig-2/record.go
@@ -80,6 +80,13 @@
 	}
 }
 
+// all returns all runs.
+func (r *record) all() []*run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs
+}
+
 // byTask returns copies of the runs of each task, in the order of their starts.
 func (r *record) byTask() map[string][]run {
 	r.mu.Lock()
--- a/review/rig-2/store.go
+++ b/review/rig-2/store.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -30,6 +31,8 @@
 // and keeps its whole history.
 type store struct {
 	listener net.Listener
+	handler  http.Handler
+	fronts   []*front
 	server   *http.Server
 
 	mu       sync.Mutex
@@ -61,6 +64,7 @@
 	mux.HandleFunc("POST /api/kv-lease", s.grant)
 	mux.HandleFunc("POST /api/kv-keep/{id}", s.keep)
 	mux.HandleFunc("DELETE /api/kv-lease-end/{id}", s.endLease)
+	s.handler = mux
 	s.server = &http.Server{Handler: mux}
 	go func() { _ = s.server.Serve(l) }()
 	go s.expireLeases()
@@ -75,6 +79,33 @@
 	s.notify()
 	s.mu.Unlock()
 	_ = s.server.Close()
+	for _, f := range s.fronts {
+		_ = f.server.Close()
+	}
+}
+
+// front is an address of the store for one machine, which the store may turn away.
+type front struct {
+	server *http.Server
+	refuse atomic.Bool
+}
+
+func (s *store) newFront(address string) (*front, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	f := &front{}
+	f.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if f.refuse.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		s.handler.ServeHTTP(w, r)
+	})}
+	s.fronts = append(s.fronts, f)
+	go func() { _ = f.server.Serve(l) }()
+	return f, nil
 }
 
 // notify wakes the waiting watches. The caller holds the lock.
--- a/review/rig-2/system.go
+++ b/review/rig-2/system.go
@@ -47,6 +47,7 @@
 	role, ip string
 	name     string
 	settings string
+	front    *front
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -132,7 +133,10 @@
 	}
 	s.store.put("op/config", z.config)
 	for i, c := range z.workers {
-		p := s.newProcess("sidecar", fmt.Sprint("side-", i+1), fmt.Sprint(subnet, 60+i), i)
+		p, err := s.newProcess("sidecar", fmt.Sprint("side-", i+1), fmt.Sprint(subnet, 60+i), i)
+		if err != nil {
+			return s, err
+		}
 		w := &worker{
 			id: fmt.Sprint("i-", i+1), address: p.ip + ":7301", reportTo: p.ip + ":7302", service: serviceName, zone: zoneOf(i), cpu: c.cpu, gpu: c.gpu,
 			labels: []string{c.kind, fmt.Sprint("r", i/3+1)}, decide: z.decide, record: rec,
@@ -144,7 +148,11 @@
 		s.sidecars = append(s.sidecars, p)
 	}
 	for i := range z.entries {
-		s.entries = append(s.entries, s.newProcess("entry", fmt.Sprint("edge-", i+1), fmt.Sprint(subnet, 1+i), i))
+		p, err := s.newProcess("entry", fmt.Sprint("edge-", i+1), fmt.Sprint(subnet, 1+i), i)
+		if err != nil {
+			return s, err
+		}
+		s.entries = append(s.entries, p)
 	}
 	for _, p := range append(append([]*process(nil), s.sidecars...), s.entries...) {
 		if err = p.start(); err != nil {
@@ -156,8 +164,13 @@
 
 func zoneOf(i int) string { return []string{"zone-a", "zone-b", "zone-c"}[i%3] }
 
-func (s *system) newProcess(role, name, ip string, i int) *process {
+func (s *system) newProcess(role, name, ip string, i int) (*process, error) {
 	class, serves := "edge", "edge"
+	storeAddress := ip + ":7305"
+	f, err := s.store.newFront(storeAddress)
+	if err != nil {
+		return nil, err
+	}
 	app := ""
 	listen := fmt.Sprintf("frontend = %q\nready = %q\n", ip+":7303", ip+":7304")
 	if role == "sidecar" {
@@ -216,10 +229,9 @@
 history_s = 20
 value_bytes = 1048576
 ttl_min_ms = 1000
-`, name, role, class, serves, ip, zoneOf(i), app, listen, s.store.address())
-	p := &process{sys: s, role: role, name: name, ip: ip, settings: filepath.Join(s.folder, name+".toml")}
-	_ = os.WriteFile(p.settings, []byte(text), 0o600)
-	return p
+`, name, role, class, serves, ip, zoneOf(i), app, listen, storeAddress)
+	p := &process{front: f, sys: s, role: role, name: name, ip: ip, settings: filepath.Join(s.folder, name+".toml")}
+	return p, os.WriteFile(p.settings, []byte(text), 0o600)
 }
 
 // start starts the program.
