--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -18,6 +18,7 @@
 	cases["waiting"] = waiting
 	cases["blocked"] = blocked
 	cases["cursor"] = cursor
+	cases["forgotten"] = forgotten
 }
 
 // current is the system of the case, which main closes.
@@ -570,28 +571,98 @@
 	}
 	rec.note("the traffic ends; worker %s has %d ends without acknowledgement", w.id, w.unacknowledged())
 	time.Sleep(finish)
-	open := func() map[string]bool {
-		jobs := make(map[string]bool)
-		for _, id := range append(ids, first) {
-			if state := s.state(id); state != "complete" {
-				jobs[id] = true
-			}
+	return s.checkIdle(append(ids, first), stalls)
+}
+
+// checkIdle watches for a time and returns the jobs that are not complete, if no run is
+// active and none starts all the while.
+func (s *system) checkIdle(ids []string, watch time.Duration) ([]string, error) {
+	open := make(map[string]string)
+	for _, id := range ids {
+		if state := s.state(id); state != "complete" {
+			open[id] = state
 		}
-		return jobs
 	}
-	before := open()
-	from, runs := time.Now(), len(rec.all())
-	time.Sleep(stalls)
-	used := 0
+	from, runs, active := time.Now(), len(s.record.all()), 0
+	for time.Since(from) < watch {
+		for _, w := range s.workers {
+			active += w.active()
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	s.record.note("for %v: %d runs started, %d were active; %d of %d jobs are not complete", watch, len(s.record.all())-runs, active, len(open), len(ids))
 	for _, w := range s.workers {
-		used += w.active()
+		s.record.note("worker %s has %d ends without acknowledgement", w.id, w.unacknowledged())
+	}
+	if len(open) > 0 && (active > 0 || len(s.record.all()) > runs) {
+		return nil, fmt.Errorf("%d jobs are not complete, and some runs are active", len(open))
 	}
-	rec.note("for %v: %d runs started, %d active at the end; worker %s has %d ends without acknowledgement", time.Since(from), len(rec.all())-runs, used, w.id, w.unacknowledged())
 	var broken []string
-	for id := range open() {
-		if before[id] && used == 0 && len(rec.all()) == runs {
-			broken = append(broken, fmt.Sprintf("job %s is not complete %v after the end of the traffic, and nothing runs", id, finish+stalls))
+	for id := range open {
+		if state := s.state(id); state != "complete" {
+			broken = append(broken, fmt.Sprintf("job %s is shown as %q, and nothing has run for %v", id, state, watch))
 		}
 	}
 	return broken, nil
 }
+
+// forgotten kills the sidecar of a worker that has more ends without acknowledgement than
+// one answer holds, while further jobs come that are due sooner.
+func forgotten(rec *record, folder string) ([]string, error) {
+	const (
+		short, long, urgent = 15 * time.Millisecond, 3 * time.Second, 2 * time.Second
+		shortTasks          = 700
+		urgentTasks         = 150
+		finish              = 14 * time.Second
+		stalls              = 3 * time.Second
+		first               = "00000000000f"
+		second              = "00000000000e"
+	)
+	s, err := begin(rec, folder, size{
+		entries: 3, workers: cpuWorkers(3), config: configuration(4, targetLatency),
+		decide: func(_ *worker, task string, _ int64) plan {
+			switch {
+			case strings.HasPrefix(task, first) && stepOf(task) == 1:
+				return plan{long, endDone}
+			case strings.HasPrefix(task, second):
+				return plan{urgent, endDone}
+			}
+			return plan{short, endDone}
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	var ids []string
+	accepted := make(chan bool, 2*len(s.entries))
+	submit := func(prefix, body string) {
+		for i := range s.entries {
+			id := fmt.Sprintf("%s%04x", prefix, i)
+			ids = append(ids, id)
+			go func() { accepted <- s.submit(i, id, body, 10*time.Second) }()
+		}
+	}
+	submit(first, jobBody("quotes", phase{Count: shortTasks, CPU: 1000, Memory: 64, Estimated: short.Milliseconds()},
+		phase{Count: 1, CPU: 1000, Memory: 64, Estimated: long.Milliseconds()}))
+	w, p := s.workers[0], s.sidecars[0]
+	const unseen = 40
+	reached := waitFor(5*time.Second, func() bool { return w.unacknowledged() >= listedEnds+unseen })
+	rec.note("worker %s has %d ends without acknowledgement and %d active runs", w.id, w.unacknowledged(), w.active())
+	if !reached {
+		return nil, errors.New("the ends never exceeded one answer")
+	}
+	submit(second, jobBody("quotes", phase{Count: urgentTasks, CPU: 1000, Memory: 64, Estimated: urgent.Milliseconds()}))
+	if trouble {
+		if err = p.restart(); err != nil {
+			return nil, err
+		}
+	}
+	for range ids {
+		if !<-accepted {
+			return nil, errors.New("job not accepted")
+		}
+	}
+	rec.note("the traffic ends")
+	time.Sleep(finish)
+	return s.checkIdle(ids, stalls)
+}
