--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -634,24 +634,27 @@
 		return nil, err
 	}
 	var ids []string
-	accepted := make(chan bool, 2*len(s.entries))
+	accepted := make(chan bool, 4*len(s.entries))
 	submit := func(prefix, body string) {
 		for i := range s.entries {
-			id := fmt.Sprintf("%s%04x", prefix, i)
+			id := fmt.Sprintf("%s%03x", prefix, i)
 			ids = append(ids, id)
 			go func() { accepted <- s.submit(i, id, body, 10*time.Second) }()
 		}
 	}
-	submit(first, jobBody("quotes", phase{Count: shortTasks, CPU: 1000, Memory: 64, Estimated: short.Milliseconds()},
-		phase{Count: 1, CPU: 1000, Memory: 64, Estimated: long.Milliseconds()}))
 	w, p := s.workers[0], s.sidecars[0]
 	const unseen = 40
-	reached := waitFor(5*time.Second, func() bool { return w.unacknowledged() >= listedEnds+unseen })
+	reached := false
+	for burst := 0; burst < 3 && !reached; burst++ {
+		submit(fmt.Sprint(first, burst), jobBody("quotes", phase{Count: shortTasks, CPU: 1000, Memory: 64, Estimated: short.Milliseconds()},
+			phase{Count: 1, CPU: 1000, Memory: 64, Estimated: long.Milliseconds()}))
+		reached = waitFor(6*time.Second, func() bool { return w.unacknowledged() >= listedEnds+unseen })
+	}
 	rec.note("worker %s has %d ends without acknowledgement and %d active runs", w.id, w.unacknowledged(), w.active())
 	if !reached {
 		return nil, errors.New("the ends never exceeded one answer")
 	}
-	submit(second, jobBody("quotes", phase{Count: urgentTasks, CPU: 1000, Memory: 64, Estimated: urgent.Milliseconds()}))
+	submit(second+"0", jobBody("quotes", phase{Count: urgentTasks, CPU: 1000, Memory: 64, Estimated: urgent.Milliseconds()}))
 	if trouble {
 		if err = p.restart(); err != nil {
 			return nil, err
