--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -374,7 +374,7 @@
 		if !stalled[id] {
 			continue
 		}
-		switch state := s.state(id); state {
+		switch state := s.shown(id); state {
 		case "complete":
 		case "active", "queued":
 			broken = append(broken, fmt.Sprintf("job %s is shown as %s and has had nothing running for %v", id, state, watch))
@@ -579,7 +579,7 @@
 func (s *system) checkIdle(ids []string, watch time.Duration) ([]string, error) {
 	open := make(map[string]string)
 	for _, id := range ids {
-		if state := s.state(id); state != "complete" {
+		if state := s.shown(id); state != "complete" {
 			open[id] = state
 		}
 	}
@@ -599,7 +599,7 @@
 	}
 	var broken []string
 	for id := range open {
-		if state := s.state(id); state != "complete" {
+		if state := s.shown(id); state != "complete" {
 			broken = append(broken, fmt.Sprintf("job %s is shown as %q, and nothing has run for %v", id, state, watch))
 		}
 	}
--- a/review/rig-2/system.go
+++ b/review/rig-2/system.go
@@ -353,6 +353,13 @@
 	return ""
 }
 
+// shown is state with a line in the record.
+func (s *system) shown(id string) string {
+	state := s.state(id)
+	s.record.note("GET %s: %q", id, state)
+	return state
+}
+
 // awaitState waits until a job has one of the states and returns the last one.
 func (s *system) awaitState(id string, limit time.Duration, states ...string) string {
 	last := "-"
