executor: Start nothing in an evacuated failure domain

A sidecar that is told to follow evacuations is not ready before it has a set and while its own domain is in it. Queued and arriving starts are returned as not started with the reason evacuated; active runs, grants and leases continue. A newer set than the one that an entry sent is returned with the next report.

--- a/internal/executor/commands.go
+++ b/internal/executor/commands.go
@@ -135,6 +135,8 @@
 	// entry places the task elsewhere.
 	RefusedLeaseTooLong RefusalReason = "lease-too-long"
 	RefusedNoRoom       RefusalReason = "no-room"
+	// RefusedEvacuated means that the worker's failure domain is evacuated.
+	RefusedEvacuated RefusalReason = "evacuated"
 )
 
 // logRefused logs that an ordered run is not started.
@@ -145,6 +147,8 @@
 // refusalReason returns why a run whose attempt is new is not started.
 func (x *Executor) refusalReason(r *run, orderAge clock.Millis) RefusalReason {
 	switch {
+	case x.isEvacuated():
+		return RefusedEvacuated
 	case !x.ready():
 		return RefusedNotReady
 	case orderAge > maxOrderAge:
--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
+	"github.com/teaseltide/teaseltide/internal/evacuation"
 	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/wire"
 	"github.com/teaseltide/teaseltide/pkg/clock"
@@ -18,6 +19,7 @@
 	e.events = nil
 	e.deposed = x.successors[id] != ""
 	e.received = 0
+	e.evacuations = evacuation.Peer{}
 }
 
 // EntryDisconnected handles the end of a session. The entry's runs continue until
@@ -85,6 +87,7 @@
 func (x *Executor) OrdersReceived(now clock.Millis, from ownership.Incarnation, o *wire.TaskOrders) {
 	e := x.entry(from)
 	e.received = o.GetSequence()
+	e.evacuations.Note(evacuation.FromWire(o.GetEvacuations()))
 	for _, f := range o.GetFences() {
 		x.fence(now, ownership.Incarnation(f.GetDeposed()), ownership.Incarnation(f.GetSuccessor()))
 		e.appliedFences = append(e.appliedFences, f.GetDeposed())
@@ -339,7 +342,7 @@
 			continue
 		}
 		offered := x.offer.entry == id && x.offer.sentAt == 0
-		urgent := offered || e.sentReady != x.ready() || e.urgent || (len(e.appliedFences) > 0 || e.inventoryDue) && x.runsListed
+		urgent := offered || e.sentReady != x.ready() || e.urgent || x.isSetDue(e) && e.received > 0 || (len(e.appliedFences) > 0 || e.inventoryDue) && x.runsListed
 		if !urgent && now-e.sentAt < x.minReportSpacing(e) {
 			continue
 		}
@@ -382,6 +385,7 @@
 	if report.Offer && x.offer.sentAt == 0 {
 		x.offer.sentAt = now
 	}
+	x.addEvacuations(e, report)
 	if x.runsListed {
 		report.Fenced = e.appliedFences
 		e.appliedFences = nil
@@ -455,6 +459,6 @@
 	return &wire.WorkerLoad{
 		Cpu: x.worker.Capacity.CPU, MemoryMb: x.worker.Capacity.MemoryMB, Accelerators: x.worker.Capacity.Accelerators,
 		FreeCpu: free.CPU, FreeMemoryMb: free.MemoryMB, FreeAccelerators: free.Accelerators,
-		Ready: x.ready(), Service: x.worker.Service, Labels: x.worker.Labels,
+		Ready: x.ready(), Service: x.worker.Service, Labels: x.worker.Labels, Evacuated: x.isEvacuated(),
 	}
 }
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -12,6 +12,7 @@
 	"slices"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
+	"github.com/teaseltide/teaseltide/internal/evacuation"
 	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/wire"
 	"github.com/teaseltide/teaseltide/pkg/clock"
@@ -218,6 +219,8 @@
 	loose bool
 	// runCount is the number of the entry's runs here, as of the last tick.
 	runCount int
+	// evacuations tracks which set of evacuated failure domains the entry has.
+	evacuations evacuation.Peer
 }
 
 // Executor makes the decisions of a sidecar. It is not safe for concurrent use.
@@ -282,6 +285,7 @@
 	// it.
 	loadVersion int64
 	offer       offer
+	evacuations evacuations
 	// leaseExpiredBy is when the worker's lease will certainly have expired, while
 	// it is not renewed; 0 otherwise.
 	leaseExpiredBy clock.Millis
@@ -380,7 +384,7 @@
 
 // ready reports whether tasks may be started.
 func (x *Executor) ready() bool {
-	return x.runsListed && x.fencesLoaded && x.unsizedRuns == 0 && x.leaseExpiredBy == 0 && !x.worker.Draining && !x.draining && x.worker.ID != ""
+	return x.evacuations.permitStarts() && x.runsListed && x.fencesLoaded && x.unsizedRuns == 0 && x.leaseExpiredBy == 0 && !x.worker.Draining && !x.draining && x.worker.ID != ""
 }
 
 // available returns the worker's free capacity.
