scheduler: Send nothing to evacuated workers, and do not count them

A worker whose domain is in the entry's set, or whose sidecar reports the evacuation, gets no starts and counts neither as capacity nor as away, nor as the alternative of a task that failed elsewhere, nor in the bounds on ejected workers and suspects. Another worker replaces it in the entry's subset. The set goes to a sidecar with the first orders of a session and at once when the domains change. A note that has only a set keeps the pending numbers.

go test ./internal/scheduler: ok.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -88,7 +88,7 @@
 		}
 	}
 	for _, n := range s.nodeList {
-		if n.connected && n.load.GetReady() && n.load.GetService() == b.Service && !n.ejected {
+		if n.connected && n.isReady() && n.load.GetService() == b.Service && !n.ejected {
 			capacity += n.throughput(n.capacity.CPU)
 		}
 	}
--- a/internal/scheduler/follow.go
+++ b/internal/scheduler/follow.go
@@ -51,7 +51,11 @@
 	s.subsetUpdate = subsetRefresh{notBefore: now + subsetInterval}
 	services := make(map[string][]*node)
 	for _, n := range s.nodeList {
-		if n.connected {
+		switch {
+		case n.evacuated:
+			// Another worker takes its place. It reports its return at once.
+			n.outsideSubset = true
+		case n.connected:
 			services[n.lastService] = append(services[n.lastService], n)
 		}
 	}
@@ -100,7 +104,7 @@
 	candidates := 0
 	for _, n := range s.nodeList {
 		n.inDemandSample = false
-		if !n.connected || !n.outsideSubset {
+		if !n.connected || n.evacuated || !n.outsideSubset {
 			continue
 		}
 		// Reservoir sampling: each candidate is kept with equal probability.
--- a/internal/scheduler/health.go
+++ b/internal/scheduler/health.go
@@ -69,7 +69,7 @@
 func (s *Scheduler) canEject(n *node) bool {
 	serving, ejected := 0, 0
 	for _, o := range s.nodeList {
-		if !o.connected || o.load.GetService() != n.load.GetService() {
+		if !o.connected || o.evacuated || o.load.GetService() != n.load.GetService() {
 			continue
 		}
 		serving++
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -372,7 +372,7 @@
 	for _, id := range n.GetCancelled() {
 		s.jobCancelledByPeer(now, batch.JobID(id))
 	}
-	if len(n.GetCancelled()) > 0 && n.Pending == nil {
+	if (len(n.GetCancelled()) > 0 || n.GetEvacuations() != nil) && n.Pending == nil {
 		return
 	}
 	counts := make(map[batch.Route]int64, len(n.GetPending()))
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -99,6 +99,7 @@
 	// pool is the one of poolService, which the worker served last.
 	pool        *pool
 	poolService string
+	evacuationState
 	health
 }
 
@@ -178,6 +179,7 @@
 	n.unacknowledgedStarts = nil
 	n.load = nil
 	n.leases = pendingLeases{}
+	n.beginEvacuationSession(s.evacuations)
 	s.witnesses.find(id).node = n
 	n.pendingOrders = nil
 	n.unresolved = nil
@@ -226,6 +228,7 @@
 		n.reservedUntil = now + s.settings.OfferDuration
 	}
 	s.updateLoad(n, r)
+	s.handleReportedEvacuations(n, r)
 	if r.GetInventory() {
 		s.handleInventory(now, n, r)
 	} else {
@@ -328,7 +331,7 @@
 			continue
 		}
 		unmet := s.demandFor(now, n)
-		updateDue := n.outsideSubset != n.outsideSubsetSent ||
+		updateDue := n.evacuationPeer.Due(s.evacuations) || n.outsideSubset != n.outsideSubsetSent ||
 			n.hasInventory && n.reportSentAt != n.grantedFrom && n.reportSentAt != 0 && (n.offered || s.needsGrant(n) && now-n.grantedReportAt >= grantInterval)
 		demandRaised := unmet.urgency != 0 && (n.sentDemand == 0 || unmet.urgency < n.sentDemand) && now-n.sentDemandAt >= demandInterval
 		if n.pendingOrders == nil && !updateDue && !demandRaised {
@@ -346,6 +349,7 @@
 		orders.Loose = n.outsideSubset
 		orders.JobLeaseReleases = n.leases.takeReleases()
 		n.outsideSubsetSent = n.outsideSubset
+		s.addEvacuations(n, orders)
 		if n.sentDemand != unmet.urgency {
 			n.sentDemand, n.sentDemandAt = unmet.urgency, now
 		}
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -128,7 +128,7 @@
 // eligible reports whether a worker takes tasks of a step, regardless of its free
 // capacity.
 func (n *node) eligible(service string, step *batch.Step) bool {
-	return n.connected && n.hasInventory && n.load != nil && n.load.GetReady() && n.load.GetService() == service &&
+	return n.connected && n.hasInventory && n.load != nil && n.isReady() && n.load.GetService() == service &&
 		(step.RequiredLabel == "" || slices.Contains(n.load.GetLabels(), step.RequiredLabel))
 }
 
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -82,7 +82,7 @@
 	}
 	for _, n := range s.nodeList {
 		if !s.takesTasks(now, n) {
-			if n.lastService != "" && now-n.lastServiceAt < awayGracePeriod {
+			if n.lastService != "" && !n.evacuated && now-n.lastServiceAt < awayGracePeriod {
 				s.pool(n.lastService).away += n.throughput(n.lastServiceCPU)
 			}
 		} else {
@@ -95,7 +95,7 @@
 		if slownessDue {
 			n.forgetSlowness(now)
 		}
-		if n.load.GetReady() && !n.ejected {
+		if n.isReady() && !n.ejected {
 			p.free += n.throughput(max(0, n.free.CPU))
 			p.total += n.throughput(n.capacity.CPU)
 		}
@@ -127,7 +127,7 @@
 
 // takesTasks reports whether a worker takes tasks, according to a current report.
 func (s *Scheduler) takesTasks(now clock.Millis, n *node) bool {
-	return n.connected && n.load.GetReady() && !n.ejected && !s.isStale(now, n)
+	return n.connected && n.isReady() && !n.ejected && !s.isStale(now, n)
 }
 
 // fastestSlowness returns the slowness of a service's fastest worker that takes
@@ -135,7 +135,7 @@
 func (s *Scheduler) fastestSlowness(service string) float64 {
 	fastest := 0.0
 	for _, n := range s.nodeList {
-		if n.connected && n.load.GetReady() && !n.ejected && n.load.GetService() == service && (fastest == 0 || n.slowness < fastest) {
+		if n.connected && n.isReady() && !n.ejected && n.load.GetService() == service && (fastest == 0 || n.slowness < fastest) {
 			fastest = n.slowness
 		}
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
+	"github.com/teaseltide/teaseltide/internal/evacuation"
 	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/wire"
 	"github.com/teaseltide/teaseltide/pkg/clock"
@@ -107,9 +108,11 @@
 	// drainBy is when a draining entry ends, 0 for one that is not draining.
 	drainBy clock.Millis
 	membership
-	witnesses witnessSet
-	listings  listings
-	nonce     uint64
+	// evacuations is the newest set of evacuated failure domains, nil if none is known.
+	evacuations *evacuation.Set
+	witnesses   witnessSet
+	listings    listings
+	nonce       uint64
 	// leaseRounds is the number of the last round of lease requests.
 	leaseRounds int64
 	// leaseQueue holds the sidecars that are to be sent lease requests or releases.
@@ -133,7 +136,9 @@
 type Counters struct {
 	Accepted, Refused, Completed, FailedJobs, CancelledJobs int64
 	Starts, Failures, Lost, NotStarted, Stalled, Crashes    int64
-	Takeovers, Ejections                                    int64
+	// StartsEvacuated counts the starts that came back from evacuated workers.
+	StartsEvacuated      int64
+	Takeovers, Ejections int64
 }
 
 // abandonedJob is a best-effort job that was removed at a time. Its runs had attempts
--- a/internal/scheduler/suspects.go
+++ b/internal/scheduler/suspects.go
@@ -75,7 +75,7 @@
 	}
 	serving, taken := 0, 0
 	for _, n := range s.nodeList {
-		if !n.connected || n.load.GetService() != service {
+		if !n.connected || n.evacuated || n.load.GetService() != service {
 			continue
 		}
 		serving++
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -231,6 +231,9 @@
 		t.recordAttempt(batch.Attempt(e.GetHighestAttempt()))
 		if t.isBoundTo(n, id) {
 			s.counters.NotStarted++
+			if n.evacuated {
+				s.counters.StartsEvacuated++
+			}
 			s.unbind(j, t)
 			s.advance(now, j)
 		}
--- a/internal/scheduler/witnesses.go
+++ b/internal/scheduler/witnesses.go
@@ -87,7 +87,7 @@
 // A sidecar that starts reports its load before its worker is.
 func (ws *witnessSet) hasUnready() bool {
 	return slices.ContainsFunc(ws.all, func(w *witness) bool {
-		return w.isListed && (w.node == nil || !w.node.load.GetReady())
+		return w.isListed && (w.node == nil || !w.node.load.GetReady() && !w.node.evacuated)
 	})
 }
 
