--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -14,6 +14,7 @@
 
 	"github.com/teaseltide/teaseltide/internal/batch"
 	"github.com/teaseltide/teaseltide/internal/control"
+	"github.com/teaseltide/teaseltide/internal/evacuation"
 	"github.com/teaseltide/teaseltide/internal/joblog"
 	"github.com/teaseltide/teaseltide/internal/jobstore"
 	"github.com/teaseltide/teaseltide/internal/ownership"
@@ -55,6 +56,9 @@
 	// StoreHealth gets the results of the calls to Store and Directory.
 	StoreHealth *StoreHealth
 	Routes      *routing.ActiveTable
+	// Evacuations holds the evacuated failure domains; it is nil if the installation does
+	// not evacuate any.
+	Evacuations *evacuation.Holder
 	// DecodeTable decodes a configuration received from another process.
 	DecodeTable func([]byte) (*routing.Table, error)
 	Clock       clock.Clock
@@ -117,6 +121,7 @@
 	sidecarSessions map[ownership.Incarnation]*peer.Session
 	ctx             context.Context
 	storeFailing    bool
+	evacuations     evacuations
 	// callerFoundGone is true if a caller was found to have left in this turn of the
 	// control thread.
 	callerFoundGone bool
@@ -140,6 +145,7 @@
 		quiesced:        make(chan struct{}),
 		entrySessions:   make(map[ownership.Incarnation]*peer.Session),
 		sidecarSessions: make(map[ownership.Incarnation]*peer.Session),
+		evacuations:     evacuations{peers: make(map[ownership.Incarnation]*evacuation.Peer)},
 	}
 	// A new incarnation cannot have been deposed yet.
 	p.core.RecordStoreContact(d.Clock.Now())
@@ -196,6 +202,7 @@
 func (p *Process) tick(now clock.Millis) bool {
 	p.deps.Jobs.ReportDropped(now)
 	p.updateStoreState(now)
+	p.applyEvacuations()
 	p.runCore(now)
 	if p.callerFoundGone {
 		// The stops of its runs must not wait for the next turn.
--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -34,7 +34,7 @@
 			Name: "teaseltide_runs_total", Help: "Runs of tasks by what became of them.",
 		}, []string{"outcome"}),
 		events: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "teaseltide_scheduler_events_total", Help: "Takeovers and ejections.",
+			Name: "teaseltide_scheduler_events_total", Help: "Takeovers, ejections and starts that came back from evacuated workers.",
 		}, []string{"event"}),
 		open: prometheus.NewGauge(prometheus.GaugeOpts{Name: "teaseltide_open_jobs", Help: "Jobs that have not ended."}),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -79,6 +79,7 @@
 	add(m.runs, "worker-crashed", c.Crashes, l.Crashes)
 	add(m.events, "takeover", c.Takeovers, l.Takeovers)
 	add(m.events, "ejection", c.Ejections, l.Ejections)
+	add(m.events, "start-refused-evacuated", c.StartsEvacuated, l.StartsEvacuated)
 	m.open.Set(float64(open))
 	m.lastCounters = c
 }
--- a/internal/entrynode/sessions.go
+++ b/internal/entrynode/sessions.go
@@ -44,6 +44,7 @@
 	h.p.push(func(now clock.Millis) {
 		if h.role == entryPeer {
 			h.p.entrySessions[s.Peer()] = s
+			h.p.beginEvacuationSession(s.Peer())
 			h.p.core.EntryConnected(now)
 			return
 		}
@@ -65,12 +66,14 @@
 	h.p.control.PushConditional(func(now clock.Millis) bool {
 		switch {
 		case h.role == entryPeer && h.p.entrySessions[s.Peer()] == s && e.GetEntryNote() != nil:
+			h.p.adoptEvacuations(now, s.Peer(), e.GetEntryNote().GetEvacuations())
 			h.p.core.HandleEntryNote(now, s.Peer(), e.GetEntryNote())
 		case h.role == sidecarPeer && h.p.sidecarSessions[s.Peer()] == s && e.GetTaskReport() != nil:
 			if e.GetTaskReport().GetDeposed() {
 				h.p.deposed.Store(true)
 				return true
 			}
+			h.p.adoptEvacuations(now, s.Peer(), e.GetTaskReport().GetEvacuations())
 			h.p.core.HandleReport(now, s.Peer(), e.GetTaskReport())
 		case h.role == sidecarPeer && h.p.sidecarSessions[s.Peer()] == s && e.GetJobLeaseAnswers() != nil:
 			return h.p.core.HandleJobLeaseAnswers(now, s.Peer(), e.GetJobLeaseAnswers())
@@ -88,6 +91,7 @@
 		switch {
 		case h.role == entryPeer && h.p.entrySessions[s.Peer()] == s:
 			delete(h.p.entrySessions, s.Peer())
+			delete(h.p.evacuations.peers, s.Peer())
 			h.p.core.EntryDisconnected(s.Peer())
 		case h.role == sidecarPeer && h.p.sidecarSessions[s.Peer()] == s:
 			delete(h.p.sidecarSessions, s.Peer())
--- a/internal/sidecarnode/sessions.go
+++ b/internal/sidecarnode/sessions.go
@@ -29,6 +29,7 @@
 	if orders := e.GetTaskOrders(); orders != nil {
 		h.p.push(func(now clock.Millis) {
 			if h.p.sessions[s.Peer()] == s {
+				h.p.adoptEvacuations(now, s.Peer(), orders.GetEvacuations())
 				h.p.core.OrdersReceived(now, s.Peer(), orders)
 			}
 		})
--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/teaseltide/teaseltide/internal/control"
+	"github.com/teaseltide/teaseltide/internal/evacuation"
 	"github.com/teaseltide/teaseltide/internal/executor"
 	"github.com/teaseltide/teaseltide/internal/joblog"
 	"github.com/teaseltide/teaseltide/internal/jobstore"
@@ -61,9 +62,12 @@
 	Worker    Worker
 	Store     platform.Transactor
 	Directory *platform.Directory
-	Clock     clock.Clock
-	Log       *zap.Logger
-	Frames    peer.FrameCounter
+	// Evacuations holds the evacuated failure domains; it is nil if the installation does
+	// not evacuate any.
+	Evacuations *evacuation.Holder
+	Clock       clock.Clock
+	Log         *zap.Logger
+	Frames      peer.FrameCounter
 	// Jobs limits the lines about jobs; if nil, none are written.
 	Jobs    *joblog.Logger
 	Metrics *Metrics
@@ -133,7 +137,7 @@
 
 // New returns a sidecar, which Run starts.
 func New(s Settings, d Deps) *Process {
-	return &Process{
+	p := &Process{
 		settings: s, deps: d,
 		// The token is the time of day, so that it grows from one incarnation to
 		// the next. If the clock has jumped back, the worker refuses the token and
@@ -143,6 +147,10 @@
 		workerUpdates: make(chan executor.Worker, 1),
 		sessions:      make(map[ownership.Incarnation]*peer.Session),
 	}
+	if d.Evacuations != nil {
+		p.core.RequireEvacuations(s.Domain)
+	}
+	return p
 }
 
 // push hands an event to the control thread.
@@ -187,6 +195,7 @@
 // is complete.
 func (p *Process) tick(now clock.Millis) bool {
 	p.deps.Jobs.ReportDropped(now)
+	p.applyEvacuations()
 	for _, c := range p.core.Tick(now) {
 		p.execute(c)
 	}
