--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -138,54 +138,6 @@
 	}
 }
 
-// jobFromRecord returns the job of a store record, in recovery.
-func jobFromRecord(o OpenJob) *job {
-	r := o.Record
-	b := batch.Job{
-		ID: o.ID, Route: batch.Route(r.GetRoute()), Service: r.GetService(), Spec: r.GetSpec(), Priority: int(r.GetPriority()),
-		MaxFailures: int(r.GetMaxFailures()), Objective: clock.Millis(r.GetObjectiveMs()),
-	}
-	for _, st := range r.GetSteps() {
-		step := batch.Step{
-			Count: int(st.GetCount()), EstimatedRunTime: clock.Millis(st.GetEstimatedMs()), RequiredLabel: st.GetLabel(), DataRack: st.GetRack(),
-			Required:     batch.Resources{CPU: st.GetCpu(), MemoryMB: st.GetMemoryMb(), Accelerators: st.GetAccelerators()},
-			MaxPerWorker: int(st.GetMaxPerWorker()),
-		}
-		for _, after := range st.GetAfter() {
-			step.DependsOn = append(step.DependsOn, int(after))
-		}
-		b.Steps = append(b.Steps, step)
-	}
-	j := newJob(clock.Millis(r.GetAcceptedAtMs()), b)
-	j.revision = o.Revision
-	j.nonce = r.GetNonce()
-	j.recovering = true
-	j.baseAttempt = batch.Attempt(o.PreviousOwners) * attemptsPerOwner
-	for i, t := range r.GetTasks() {
-		if i >= len(j.tasks) {
-			break
-		}
-		j.tasks[i].failures = int(t.GetFailures())
-		j.tasks[i].failedAttempts = attemptsFromRecord(t.GetFailedAttempts())
-		j.tasks[i].crashes = crashesFromRecord(t)
-		if t.GetDone() {
-			j.tasks[i].state = taskDone
-			j.remaining[j.tasks[i].step]--
-			j.started = true
-		}
-	}
-	return j
-}
-
-// attemptsFromRecord returns attempts of a task's store record.
-func attemptsFromRecord(stored []int64) []batch.Attempt {
-	attempts := make([]batch.Attempt, 0, len(stored))
-	for _, a := range stored {
-		attempts = append(attempts, batch.Attempt(a))
-	}
-	return attempts
-}
-
 // recordFenced records the fences that a sidecar has applied.
 func (s *Scheduler) recordFenced(now clock.Millis, n *node, r *wire.TaskReport) {
 	for _, t := range s.takeovers {
