scheduler: Only workers that could take a task are alternatives to one with trouble

A worker under which a task crashed, or that failed it, was passed over as long as any other worker had the service and the label.

An alternative now has the capacity, reports, is not ejected and ends the task in time. An ejected worker is passed over only if another one could take the task. A stored job without progress for 1.5 s takes avoided workers while less than 0.6 of the capacity is in use, so that a full alternative does not delay it beyond 3 s.

The new tests fail without the change: no start within 2 s (five kinds of trouble), none on an ejected worker, none in 3 s beside a busy alternative.

--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -36,6 +36,8 @@
 	remaining []int
 	// pendingTasks counts the placeable tasks of a queued job.
 	pendingTasks int
+	// waitingSince is when the job last became queued or a task of it was bound.
+	waitingSince clock.Millis
 	started      bool
 	queued       bool
 	// stage is the job's stage when the queue was last updated.
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -28,23 +28,25 @@
 	}
 	var best *node
 	var bestCost float64
+	avoidance := s.newAvoidance(now, j, t)
 	for _, n := range s.nodeList {
-		if !n.eligible(j.Service, step) || now-n.reportReceivedAt > maxReportAge || now < n.reservedUntil || !n.free.Covers(step.Required) || !n.mayPlaceOn(now) {
+		if !n.eligible(j.Service, step) || now-n.reportReceivedAt > maxReportAge || now < n.reservedUntil || !n.free.Covers(step.Required) {
 			continue
 		}
 		if step.MaxPerWorker > 0 && boundTasks(j, t.step, n) >= step.MaxPerWorker {
 			continue
 		}
-		if !n.finishesInTime(now, j, step) {
-			continue
-		}
 		if t.isSuspect() && s.suspects.nodes[n.address] {
 			continue
 		}
-		if t.hadTroubleOn(n) && s.hasAlternative(j, t, n) {
+		avoided := avoidance.avoids(n)
+		if avoided && !avoidance.lifted {
 			continue
 		}
 		cost := s.noisyCost(n, step) + s.separationCost(t, n)
+		if avoided {
+			cost += avoidedCost
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = n, cost
 		}
@@ -97,23 +99,6 @@
 	return 1 - float64(n.free.CPU)/float64(n.capacity.CPU)
 }
 
-// hadTroubleOn reports whether a worker failed the task or crashed under it. A worker that
-// crashes for reasons of its own is empty afterwards and looks the best.
-func (t *task) hadTroubleOn(n *node) bool {
-	return slices.Contains(t.failedWorkers, n.address) || slices.Contains(t.crashedWorkers, n.address)
-}
-
-// hasAlternative reports whether a worker without such trouble could take the task, with
-// or without free capacity.
-func (s *Scheduler) hasAlternative(j *job, t *task, excluded *node) bool {
-	for _, n := range s.nodeList {
-		if n != excluded && n.eligible(j.Service, &j.Steps[t.step]) && !t.hadTroubleOn(n) {
-			return true
-		}
-	}
-	return false
-}
-
 // boundTasks returns the number of a step's tasks that are bound to a worker.
 func boundTasks(j *job, step int, n *node) int {
 	count := 0
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -18,6 +18,7 @@
 		return
 	}
 	j.queued = true
+	j.waitingSince = s.now
 	at, _ := slices.BinarySearchFunc(s.queue, j, compareJobs)
 	s.queue = slices.Insert(s.queue, at, j)
 }
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -85,6 +85,7 @@
 	t.attempt = s.nextAttempt(j, t)
 	t.node = n.address
 	t.boundAt = now
+	j.waitingSince = now
 	t.sequence = n.sequence + 1
 	j.pendingTasks--
 	step := &j.Steps[t.step]
