scheduler: Search workers once for each class of tasks, through the whole queue

A search without a worker now holds for its class (service, label, rack, resources, route) until the end of the pass, for all latest ends. Above 32 misses the next searches are spread over time.

--- a/internal/scheduler/alternatives.go
+++ b/internal/scheduler/alternatives.go
@@ -32,14 +32,20 @@
 	return slices.Contains(t.failedWorkers, n.address) || slices.Contains(t.crashedWorkers, n.address)
 }
 
-// avoidance decides which workers with room a task is to avoid.
-type avoidance struct {
+// search is the search of a worker for a task.
+type search struct {
 	s    *Scheduler
 	now  clock.Millis
 	job  *job
 	task *task
+	step *batch.Step
 	// lifted is true if the task takes avoided workers if there are no others.
 	lifted bool
+	// needed is the least tolerance for which a worker with room was passed over, see
+	// classMiss. isExcluded is true if a worker with room that ends the task in time was
+	// passed over for a reason that need not hold for other tasks of the class.
+	needed     float64
+	isExcluded bool
 	// alternative and otherWorker are the answers of hasAlternative and hasOtherWorker
 	// once known.
 	alternative, otherWorker answer
@@ -64,36 +70,48 @@
 	return *a == yes
 }
 
-func (s *Scheduler) newAvoidance(now clock.Millis, j *job, t *task) avoidance {
-	return avoidance{s: s, now: now, job: j, task: t, lifted: s.takesAvoided(now, j)}
+func (s *Scheduler) newSearch(now clock.Millis, j *job, t *task) search {
+	return search{s: s, now: now, job: j, task: t, step: &j.Steps[t.step], lifted: s.takesAvoided(now, j), needed: unlimited}
 }
 
-// avoids reports whether a worker is ejected, too slow for the job's target, or had trouble
-// with the task.
-func (a *avoidance) avoids(n *node) bool {
+// permits reports whether a task may be placed on a worker with room, and whether it
+// avoids the worker if there is another one: an ejected one, one too slow for the job's
+// target, or one that had trouble with the task.
+func (q *search) permits(n *node) (avoided, permitted bool) {
+	ejected := !n.mayPlaceOn(q.now) && q.otherWorker.get(q.hasOtherWorker)
+	slow := !n.finishesInTime(q.now, q.job, q.step)
 	switch {
-	case !n.mayPlaceOn(a.now) && a.otherWorker.get(a.hasOtherWorker):
-		return true
-	case !n.finishesInTime(a.now, a.job, a.step()):
-		return true
+	case ejected && !q.lifted:
+		return true, false
+	case slow && !q.lifted:
+		q.needed = min(q.needed, n.neededTolerance(q.step))
+		return true, false
+	case q.step.MaxPerWorker > 0 && boundTasks(q.job, q.task.step, n) >= q.step.MaxPerWorker,
+		q.task.isSuspect() && q.s.suspects.nodes[n.address]:
+		q.isExcluded = true
+		return false, false
 	}
-	return a.task.hadTroubleOn(n) && a.alternative.get(a.hasAlternative)
+	trouble := q.task.hadTroubleOn(n) && q.alternative.get(q.hasAlternative)
+	if trouble && !q.lifted {
+		q.isExcluded = true
+		return true, false
+	}
+	return ejected || slow || trouble, true
 }
 
-func (a *avoidance) step() *batch.Step { return &a.job.Steps[a.task.step] }
-
 // hasAlternative reports whether a worker without trouble could take the task by its job's
 // target. A worker that never can, for its size, its label, its silence or its ejection,
 // must not keep the task waiting.
-func (a *avoidance) hasAlternative() bool {
-	return slices.ContainsFunc(a.s.nodeList, func(n *node) bool {
-		return !a.task.hadTroubleOn(n) && a.s.couldTake(a.now, n, a.job.Service, a.step()) && n.finishesInTime(a.now, a.job, a.step())
+func (q *search) hasAlternative() bool {
+	return slices.ContainsFunc(q.s.nodeList, func(n *node) bool {
+		return !q.task.hadTroubleOn(n) && q.s.couldTake(q.now, n, q.job.Service, q.step) && n.finishesInTime(q.now, q.job, q.step)
 	})
 }
 
-// hasOtherWorker reports whether a worker that is not ejected could take the task.
-func (a *avoidance) hasOtherWorker() bool {
-	return slices.ContainsFunc(a.s.nodeList, func(n *node) bool { return a.s.couldTake(a.now, n, a.job.Service, a.step()) })
+// hasOtherWorker reports whether a worker that is not ejected could take the task. The
+// answer holds for its class.
+func (q *search) hasOtherWorker() bool {
+	return slices.ContainsFunc(q.s.nodeList, func(n *node) bool { return q.s.couldTake(q.now, n, q.job.Service, q.step) })
 }
 
 // takesAvoided reports whether the tasks of a job take workers that are otherwise avoided:
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -38,8 +38,12 @@
 	pendingTasks int
 	// waitingSince is when the job last became queued or a task of it was bound.
 	waitingSince clock.Millis
-	started      bool
-	queued       bool
+	// classes holds the placement class of each step, searchAt the time of the next
+	// search for a worker for its tasks; both are nil before the job was queued.
+	classes  []*placementClass
+	searchAt []clock.Millis
+	started  bool
+	queued   bool
 	// stage is the job's stage when the queue was last updated.
 	stage stage
 	// ranBefore is true for a best-effort job of which an earlier submission ran.
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -21,29 +21,18 @@
 
 // chooseWorker returns the worker of lowest cost among those with free capacity
 // that are expected to end the task in time, nil if there is none.
-func (s *Scheduler) chooseWorker(now clock.Millis, j *job, t *task) *node {
-	step := &j.Steps[t.step]
-	if t.isSuspect() && !s.maySuspectStart(now, t, j.Service) {
-		return nil
-	}
+func (q *search) chooseWorker() *node {
 	var best *node
 	var bestCost float64
-	avoidance := s.newAvoidance(now, j, t)
-	for _, n := range s.nodeList {
-		if !n.eligible(j.Service, step) || now-n.reportReceivedAt > maxReportAge || now < n.reservedUntil || !n.free.Covers(step.Required) {
-			continue
-		}
-		if step.MaxPerWorker > 0 && boundTasks(j, t.step, n) >= step.MaxPerWorker {
-			continue
-		}
-		if t.isSuspect() && s.suspects.nodes[n.address] {
+	for _, n := range q.s.nodeList {
+		if !n.eligible(q.job.Service, q.step) || q.now-n.reportReceivedAt > maxReportAge || q.now < n.reservedUntil || !n.free.Covers(q.step.Required) {
 			continue
 		}
-		avoided := avoidance.avoids(n)
-		if avoided && !avoidance.lifted {
+		avoided, permitted := q.permits(n)
+		if !permitted {
 			continue
 		}
-		cost := s.noisyCost(n, step) + s.separationCost(t, n)
+		cost := q.s.noisyCost(n, q.step) + q.s.separationCost(q.task, n)
 		if avoided {
 			cost += avoidedCost
 		}
--- a/internal/scheduler/placement_bench_test.go
+++ b/internal/scheduler/placement_bench_test.go
@@ -11,12 +11,16 @@
 	"github.com/teaseltide/teaseltide/pkg/clock"
 )
 
-// BenchmarkPlacement measures a tick with 2,000 jobs that wait for 70 workers: full ones,
-// or idle ones that lack the label of the jobs. An entry ticks many times a second with
-// 0.144 of a core.
+// BenchmarkPlacement measures a tick with 2,000 jobs of three or of 2,000 sizes that wait for
+// 70 workers: full ones, or idle ones that lack the label of the jobs. An entry ticks many
+// times a second with 0.144 of a core.
 func BenchmarkPlacement(b *testing.B) {
-	for name, label := range map[string]string{"full": "", "no-worker": "rare"} {
-		b.Run(name, func(b *testing.B) {
+	for _, tt := range []struct {
+		name, label string
+		sizes       int
+	}{{"full", "", 3}, {"no-worker", "rare", 3}, {"full-distinct", "", 2000}} {
+		b.Run(tt.name, func(b *testing.B) {
+			label := tt.label
 			const now = clock.Millis(1_000_000)
 			s := scheduler.New(settings)
 			s.RecordStoreContact(now)
@@ -32,10 +36,9 @@
 			}
 			report(900, "rare")
 			for i := range 2000 {
-				kind := i % 3
 				s.Submit(now, scheduler.Request(i+1), batch.Job{
-					ID: batch.JobID(fmt.Sprint("j", i)), Service: "s", Priority: kind, MaxFailures: 4, Objective: clock.Minute + clock.Millis(i),
-					Steps: []batch.Step{{Count: 4, Required: batch.Resources{CPU: int64(1000 + 500*kind), MemoryMB: 1}, EstimatedRunTime: 100, RequiredLabel: label}},
+					ID: batch.JobID(fmt.Sprint("j", i)), Service: "s", Priority: i % 3, MaxFailures: 4, Objective: clock.Minute + clock.Millis(i),
+					Steps: []batch.Step{{Count: 4, Required: batch.Resources{CPU: int64(1000 + 500*(i%3) + i%tt.sizes), MemoryMB: 1}, EstimatedRunTime: 100, RequiredLabel: label}},
 				})
 			}
 			for _, c := range s.Tick(now) {
--- a/internal/scheduler/placementpass.go
+++ b/internal/scheduler/placementpass.go
@@ -4,18 +4,15 @@
 	"github.com/teaseltide/teaseltide/pkg/clock"
 )
 
-// maxPlacementMisses bounds the jobs without a worker that a tick examines, so
-// that small tasks can pass large ones at a bounded cost.
-const maxPlacementMisses = 32
-
-// placeTasks binds pending tasks to workers with free capacity.
+// placeTasks binds pending tasks to workers with free capacity, in the order of the
+// queue. Tasks without a worker do not hold up those behind them.
 func (s *Scheduler) placeTasks(now clock.Millis) {
 	if len(s.queue) == 0 {
 		return
 	}
+	s.pass.begin()
 	s.updateStages(now)
 	s.updateSuspects()
-	misses := 0
 	var fullyPlaced []*job
 	stored := s.mayOrderStored(now)
 	for _, j := range s.queue {
@@ -25,16 +22,9 @@
 		if !s.mayStart(j) || !j.callerPresent(now) || !j.mayRun(now) {
 			continue
 		}
-		if !s.placeJob(now, j) {
-			if s.hasPendingSuspect(j) {
-				continue
-			}
-			if misses++; misses >= maxPlacementMisses {
-				break
-			}
-			continue
+		if s.placeJob(now, j) {
+			fullyPlaced = append(fullyPlaced, j)
 		}
-		fullyPlaced = append(fullyPlaced, j)
 	}
 	for _, j := range fullyPlaced {
 		s.dequeue(j)
@@ -49,23 +39,50 @@
 
 // placeJob binds the pending tasks of a job and reports whether none is left.
 func (s *Scheduler) placeJob(now clock.Millis, j *job) bool {
-	for i := range j.tasks {
+	for i := range j.Steps {
 		if j.pendingTasks == 0 {
 			return true
 		}
-		t := &j.tasks[i]
-		if !j.isPlaceable(t) {
+		if j.remaining[i] > 0 && j.stepReady(i) {
+			s.placeStep(now, j, i)
+		}
+	}
+	return j.pendingTasks == 0
+}
+
+// placeStep binds the pending tasks of a step.
+func (s *Scheduler) placeStep(now clock.Millis, j *job, step int) {
+	if s.pass.isMissed(now, j.classes[step].miss(s.takesAvoided(now, j)), j.tolerance(now, &j.Steps[step])) {
+		return
+	}
+	if now < j.searchAt[step] {
+		s.pass.misses++
+		return
+	}
+	for i := range j.Steps[step].Count {
+		t := &j.tasks[j.firstTask[step]+i]
+		if !j.isPlaceable(t) || t.isSuspect() && !s.maySuspectStart(now, t, j.Service) {
 			continue
 		}
-		n := s.chooseWorker(now, j, t)
-		if n == nil && t.isSuspect() {
+		if now < t.notBefore {
 			continue
 		}
-		if n == nil {
-			return false
+		q := s.newSearch(now, j, t)
+		if n := q.chooseWorker(); n != nil {
+			s.bind(now, j, t, n)
+			s.noteSuspectBound(t)
+			continue
 		}
-		s.bind(now, j, t, n)
-		s.noteSuspectBound(t)
+		if !q.isExcluded {
+			s.pass.recordMiss(now, j.classes[step].miss(q.lifted), q.needed)
+			return
+		}
+		s.pass.misses++
+		if len(t.failedWorkers)+len(t.crashedWorkers) == 0 && !t.isSuspect() {
+			// The tasks bound to the workers already exclude them for the whole step.
+			j.searchAt[step] = now + s.pass.missDelay()
+			return
+		}
+		t.notBefore = max(t.notBefore, now+s.pass.missDelay())
 	}
-	return j.pendingTasks == 0
 }
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -19,6 +19,7 @@
 	}
 	j.queued = true
 	j.waitingSince = s.now
+	s.pass.classify(s.now, j)
 	at, _ := slices.BinarySearchFunc(s.queue, j, compareJobs)
 	s.queue = slices.Insert(s.queue, at, j)
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -62,6 +62,7 @@
 	jobs           map[batch.JobID]*job
 	// queue holds the jobs with pending tasks, most urgent first.
 	queue []*job
+	pass  placementPass
 	ended map[batch.JobID]endedJob
 	// endedOrder holds the ended jobs, oldest first.
 	endedOrder []batch.JobID
@@ -168,6 +169,7 @@
 		patience:            make(map[batch.Route]patience),
 		suspects:            suspects{nodes: make(map[Address]bool)},
 		entryCount:          1,
+		pass:                placementPass{classes: make(map[classKey]*placementClass)},
 	}
 }
 
@@ -264,6 +266,7 @@
 		s.notedPending = len(own) > 0
 		s.pendingCommands = append(s.pendingCommands, BroadcastNote{Note: &wire.EntryNote{Pending: own}})
 	}
+	s.pass.forgetClasses(now)
 	s.repeatCancellations(now)
 	maps.DeleteFunc(s.peerPending, func(_ ownership.Incarnation, p peerPending) bool { return p.dropAt != 0 && now >= p.dropAt })
 }
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -75,7 +75,7 @@
 	var longest float64
 	for i := range j.Steps {
 		if j.remaining[i] > 0 {
-			longest = max(longest, s.fastestRunTime(j.Service, &j.Steps[i]))
+			longest = max(longest, s.fastestRunTimeOf(j, i))
 		}
 	}
 	return clock.Millis(longest)
--- a/internal/scheduler/suspects.go
+++ b/internal/scheduler/suspects.go
@@ -62,11 +62,6 @@
 	}
 }
 
-// hasPendingSuspect reports whether a job has a suspect that waits for a worker.
-func (s *Scheduler) hasPendingSuspect(j *job) bool {
-	return slices.ContainsFunc(s.suspects.tasks, func(b boundTask) bool { return b.job == j && b.task.state == taskPending })
-}
-
 // maySuspectStart reports whether one more suspect may run on the workers of a service.
 // The entries share the bound evenly.
 func (s *Scheduler) maySuspectStart(now clock.Millis, t *task, service string) bool {
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -31,6 +31,8 @@
 	attemptFloor batch.Attempt
 	node         Address
 	boundAt      clock.Millis
+	// notBefore is the time of the next search for a worker.
+	notBefore clock.Millis
 	// sequence is that of the orders with the start, 0 for an adopted run.
 	sequence int64
 	failures int
