scheduler: Suspects share workers 1.5 s after their crash

A task under which a worker had crashed was never bound to a worker with another such task of its entry, so that long ones waited for the end of others in an idle service (rig waiting). The wait for an own worker now ends with that for the bound on suspects; a worker without suspects is preferred.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -167,7 +167,7 @@
 		peerPending:         make(map[ownership.Incarnation]peerPending),
 		pools:               make(map[string]*pool),
 		patience:            make(map[batch.Route]patience),
-		suspects:            suspects{nodes: make(map[Address]bool)},
+		suspects:            suspects{nodes: make(map[Address]bool), room: make(map[string]int)},
 		entryCount:          1,
 		pass:                placementPass{classes: make(map[classKey]*placementClass)},
 	}
--- a/internal/scheduler/suspects.go
+++ b/internal/scheduler/suspects.go
@@ -10,9 +10,10 @@
 	// maxSuspectFraction bounds the part of a service's workers on which suspects run
 	// at a time, over all entries: each of them may crash its worker.
 	maxSuspectFraction = 1.0 / 3
-	// maxSuspectWait is how long after its crash a suspect waits because of that bound.
-	// The crash of a silent worker is known only after seconds, so with many suspects
-	// one that harms nothing would wait for very long.
+	// maxSuspectWait is how long after its crash a suspect waits because of that bound, or
+	// for a worker without another suspect. The crash of a silent worker is known only
+	// after seconds, so with many suspects one that harms nothing would wait for very
+	// long, and a task must start within 3 s of its turn while capacity is free.
 	maxSuspectWait = 1500 * clock.Millis(1)
 	// suspectCost is added to the cost of a worker, in ms, to keep suspects and other
 	// tasks apart. It exceeds any expected run time, so that a worker without it is
@@ -27,6 +28,9 @@
 	tasks []boundTask
 	// nodes holds the workers to which one is bound.
 	nodes map[Address]bool
+	// room is the number of further workers of each service that may get one, as of this
+	// pass, for the services that were asked for.
+	room map[string]int
 }
 
 func (t *task) isSuspect() bool { return len(t.crashedAttempts) > 0 }
@@ -44,6 +48,7 @@
 // updateSuspects removes the tasks that have ended and notes where the others run.
 func (s *Scheduler) updateSuspects() {
 	clear(s.suspects.nodes)
+	clear(s.suspects.room)
 	if len(s.suspects.tasks) == 0 {
 		return
 	}
@@ -59,14 +64,25 @@
 func (s *Scheduler) noteSuspectBound(t *task) {
 	if t.isSuspect() && t.state == taskBound {
 		s.suspects.nodes[t.node] = true
+		clear(s.suspects.room)
 	}
 }
 
-// maySuspectStart reports whether one more suspect may run on the workers of a service.
-// The entries share the bound evenly.
+// isIsolated reports whether a suspect still waits for a worker without another one.
+func (t *task) isIsolated(now clock.Millis) bool {
+	return t.isSuspect() && now-t.lastCrashAt < maxSuspectWait
+}
+
+// maySuspectStart reports whether a suspect may be bound to one more of a service's workers.
 func (s *Scheduler) maySuspectStart(now clock.Millis, t *task, service string) bool {
-	if now-t.lastCrashAt >= maxSuspectWait {
-		return true
+	return !t.isIsolated(now) || s.suspectRoom(service) > 0
+}
+
+// suspectRoom returns the number of further workers of a service that may get a suspect.
+// The entries share the bound evenly.
+func (s *Scheduler) suspectRoom(service string) int {
+	if room, ok := s.suspects.room[service]; ok {
+		return room
 	}
 	serving, taken := 0, 0
 	for _, n := range s.nodeList {
@@ -78,17 +94,21 @@
 			taken++
 		}
 	}
-	return float64(taken+1) <= max(1, maxSuspectFraction*float64(serving)/float64(max(1, s.entryCount)))
+	room := int(max(1, maxSuspectFraction*float64(serving)/float64(max(1, s.entryCount)))) - taken
+	s.suspects.room[service] = room
+	return room
 }
 
 // separationCost returns the cost of a worker for a task that comes from keeping
-// suspects apart. A suspect gets the worker with the lowest utilization.
+// suspects apart. A suspect gets the worker with the lowest utilization, one with another
+// suspect only if no other worker has room.
 func (s *Scheduler) separationCost(t *task, n *node) float64 {
-	switch {
-	case t.isSuspect():
-		return suspectCost * n.utilization()
-	case s.suspects.nodes[n.address]:
-		return suspectCost
+	cost := 0.0
+	if t.isSuspect() {
+		cost = suspectCost * n.utilization()
+	}
+	if s.suspects.nodes[n.address] {
+		cost += suspectCost
 	}
-	return 0
+	return cost
 }
--- a/internal/scheduler/suspects_test.go
+++ b/internal/scheduler/suspects_test.go
@@ -181,3 +181,32 @@
 		t.Errorf("starts of two suspects: got %v, want them on two workers", starts)
 	}
 }
+
+// Long tasks under which a worker had crashed ran one at a time on each worker of an entry,
+// so that others waited for their end although most of the service was idle. A task must
+// start within 3 s.
+func TestManySuspectsShareWorkersAfterAShortWait(t *testing.T) {
+	b := newTestbed(t, 6)
+	var ids []string
+	for i := range 40 {
+		ids = append(ids, "suspect"+strconv.Itoa(i))
+	}
+	b.crashOnce(ids...)
+	starts := 0
+	perWorker := make(map[scheduler.Address]int)
+	for range 25 {
+		b.advance(100)
+		for _, s := range b.starts() {
+			starts++
+			perWorker[s.at]++
+		}
+	}
+	if starts != len(ids) {
+		t.Errorf("starts of suspects on 6 workers in 2.5 s: got %d, want %d", starts, len(ids))
+	}
+	for a, n := range perWorker {
+		if n > 20 {
+			t.Errorf("suspects on %s: got %d of %d, want them spread over the workers", a, n, len(ids))
+		}
+	}
+}
