scheduler: Keep the attempts of all owners of a job apart

Refused starts raised the attempts by a thousand a second into those of the successor.

The record now has the base. An owner with 900 used attempts raises it with a progress write and starts nothing beyond 1,000 before; a task waits after three refusals in a row, up to 500 ms.

--- /dev/null
+++ b/internal/scheduler/attempts.go
@@ -0,0 +1,71 @@
+package scheduler
+
+import (
+	"github.com/teaseltide/teaseltide/internal/batch"
+	"github.com/teaseltide/teaseltide/pkg/clock"
+)
+
+const (
+	// attemptsPerOwner separates the attempts of a job's successive owners: a
+	// successor's attempts are higher than those of its predecessor that it does not
+	// know.
+	attemptsPerOwner = 1000
+	// attemptReserve is the number of attempts that an owner has left when it raises the
+	// base in the job's record, so that a start seldom waits for that write.
+	attemptReserve = 100
+	// freeRefusals is the number of consecutive refusals of a task's starts after which
+	// it is placed again without delay: entries compete for room.
+	freeRefusals = 3
+	// minRefusalDelay is the delay after one more refusal; it doubles with each. A worker
+	// that refuses at once was tried about a thousand times a second.
+	minRefusalDelay = 5 * clock.Millis(1)
+	// maxRefusalDelay leaves several tries in the 3 s after which a stored task must have
+	// started, maxBestEffortRefusalDelay in the objective of a short job.
+	maxRefusalDelay           = 500 * clock.Millis(1)
+	maxBestEffortRefusalDelay = 20 * clock.Millis(1)
+)
+
+// highestAttempt returns the highest attempt of any run of the job, as far as known.
+func (j *job) highestAttempt() batch.Attempt {
+	highest := j.baseAttempt
+	for i := range j.tasks {
+		highest = max(highest, j.tasks[i].attempt, j.tasks[i].attemptFloor)
+	}
+	return highest
+}
+
+// recordedBase returns the base for a write of the job's record: the current one, or a
+// higher one if most attempts above it are used up.
+func (j *job) recordedBase() batch.Attempt {
+	if highest := j.highestAttempt(); highest-j.baseAttempt >= attemptsPerOwner-attemptReserve {
+		return highest
+	}
+	return j.baseAttempt
+}
+
+// hasAttempt reports whether a task has an attempt left that a successor will not use. If
+// not, it waits for a write with a higher base.
+func (s *Scheduler) hasAttempt(j *job, t *task) bool {
+	return j.BestEffort || s.nextAttempt(j, t)-j.baseAttempt <= attemptsPerOwner
+}
+
+// saveBase writes the record of a stored job that has nearly used up its attempts.
+func (s *Scheduler) saveBase(j *job) {
+	if !j.BestEffort && j.recordedBase() != j.baseAttempt {
+		s.writeProgress(j)
+	}
+}
+
+// delayAfterRefusal puts off the next start of a task whose starts are refused one after
+// the other.
+func (t *task) delayAfterRefusal(now clock.Millis, bestEffort bool) {
+	t.refusals++
+	if t.refusals <= freeRefusals {
+		return
+	}
+	longest := maxRefusalDelay
+	if bestEffort {
+		longest = maxBestEffortRefusalDelay
+	}
+	t.notBefore = max(t.notBefore, now+min(minRefusalDelay<<min(t.refusals-freeRefusals-1, 8), longest))
+}
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -50,9 +50,10 @@
 	ranBefore bool
 	// finishing is true for a late job with a run that may have started.
 	finishing bool
-	// baseAttempt is added to the number of each attempt, so that attempts grow
-	// across owners.
-	baseAttempt batch.Attempt
+	// baseAttempt is below all attempts of this owner, so that attempts grow across
+	// owners. That of a stored job is in its record, or follows from the owner there.
+	// baseInWrite is the one in the newest write.
+	baseAttempt, baseInWrite batch.Attempt
 	// unstoredEnds are the ends of runs that are not in the store yet.
 	unstoredEnds []unstoredEnd
 	// endsInWrite is the number of unstoredEnds that the write in flight covers.
--- a/internal/scheduler/jobwrites.go
+++ b/internal/scheduler/jobwrites.go
@@ -56,6 +56,7 @@
 		j.confirmedAt = now
 		s.acknowledgeStoredEnds(j)
 		j.markCrashesStored()
+		j.baseAttempt = max(j.baseAttempt, j.baseInWrite)
 	}
 	switch kind {
 	case SaveNew:
@@ -143,14 +144,15 @@
 // the job's progress is written, so that the worker's list of ends stays short.
 const progressDelay = 1500 * clock.Millis(1)
 
-// saveProgress writes the progress of a job with an unstored crash, or with an end
-// that has been unstored for progressDelay.
+// saveProgress writes the progress of a job with an unstored crash, with an end
+// that has been unstored for progressDelay, or with few attempts left.
 func (s *Scheduler) saveProgress(now clock.Millis, j *job) {
 	if len(j.unstoredEnds) > 0 && now-j.unstoredSince >= progressDelay {
 		s.writeProgress(j)
 		return
 	}
 	s.saveCrashes(j)
+	s.saveBase(j)
 }
 
 // writeProgress writes the progress of a job, unless a write is in flight.
--- a/internal/scheduler/placementpass.go
+++ b/internal/scheduler/placementpass.go
@@ -67,6 +67,10 @@
 		if now < t.notBefore {
 			continue
 		}
+		if !s.hasAttempt(j, t) {
+			s.saveBase(j)
+			continue
+		}
 		q := s.newSearch(now, j, t)
 		if n := q.chooseWorker(); n != nil {
 			s.bind(now, j, t, n)
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -9,9 +9,11 @@
 // storedRecord returns the store record of an open job, with a new nonce.
 func (s *Scheduler) storedRecord(j *job) *wire.StoredJob {
 	j.nextNonce = s.nextNonce()
+	j.baseInWrite = j.recordedBase()
 	r := &wire.StoredJob{
 		Owner: string(s.settings.Self), Nonce: j.nextNonce, Route: string(j.Route), Service: j.Service, Spec: j.Spec,
 		Priority: int32(j.Priority), MaxFailures: int32(j.MaxFailures), AcceptedAtMs: int64(j.acceptedAt), ObjectiveMs: int64(j.Objective),
+		BaseAttempt: int64(j.baseInWrite),
 	}
 	for _, step := range j.Steps {
 		stored := &wire.StoredStep{
@@ -68,7 +70,8 @@
 	j.revision = o.Revision
 	j.nonce = r.GetNonce()
 	j.recovering = true
-	j.baseAttempt = batch.Attempt(o.PreviousOwners) * attemptsPerOwner
+	// Records of versions that stored no base have 0.
+	j.baseAttempt = batch.Attempt(r.GetBaseAttempt()) + batch.Attempt(o.PreviousOwners)*attemptsPerOwner
 	for i, t := range r.GetTasks() {
 		if i >= len(j.tasks) {
 			break
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -9,11 +9,6 @@
 	"github.com/teaseltide/teaseltide/pkg/clock"
 )
 
-// attemptsPerOwner separates the attempts of a job's successive owners: a
-// successor's attempts are higher than those of its predecessor that it does not
-// know.
-const attemptsPerOwner = 1000
-
 // takeover is the recovery of the jobs of a deposed entry.
 type takeover struct {
 	deposed ownership.Incarnation
@@ -39,7 +34,8 @@
 	ID       batch.JobID
 	Revision int64
 	Record   *wire.StoredJob
-	// PreviousOwners is the number of entries that owned the job before this one.
+	// PreviousOwners is the number of owners from the one in the record up to this entry,
+	// without it.
 	PreviousOwners int
 }
 
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -33,6 +33,8 @@
 	boundAt      clock.Millis
 	// notBefore is the time of the next search for a worker.
 	notBefore clock.Millis
+	// refusals is the number of consecutive starts that did not lead to a run.
+	refusals int
 	// sequence is that of the orders with the start, 0 for an adopted run.
 	sequence int64
 	failures int
@@ -216,6 +218,7 @@
 	}
 	if e.GetState() != wire.TaskEvent_STATE_QUEUED && e.GetState() != wire.TaskEvent_STATE_NOT_STARTED {
 		t.ran = true
+		t.refusals = 0
 	}
 	if e.GetState() != wire.TaskEvent_STATE_QUEUED && e.GetState() != wire.TaskEvent_STATE_RUNNING {
 		t.removeOtherRun(n, id)
@@ -234,6 +237,7 @@
 		t.recordAttempt(batch.Attempt(e.GetHighestAttempt()))
 		if t.isBoundTo(n, id) {
 			s.counters.NotStarted++
+			t.delayAfterRefusal(now, j.BestEffort)
 			s.unbind(j, t)
 			s.advance(now, j)
 		}
