scheduler: Stored jobs no longer fail because of crashes

The task is contained instead: a pause from the second crash on (250 ms, doubling to 2 s), then up to 500 ms for a worker without other runs, then any worker; it starts 2.5 s after a crash at the latest, also while the write of its crash does not succeed. Best-effort jobs still fail after three.

--- a/internal/scheduler/alternatives.go
+++ b/internal/scheduler/alternatives.go
@@ -87,7 +87,8 @@
 		q.needed = min(q.needed, n.neededTolerance(q.step))
 		return true, false
 	case q.step.MaxPerWorker > 0 && boundTasks(q.job, q.task.step, n) >= q.step.MaxPerWorker,
-		q.task.isIsolated(q.now) && q.s.suspects.nodes[n.address]:
+		q.task.isIsolated(q.now, q.job.BestEffort) && q.s.suspects.nodes[n.address],
+		q.task.needsOwnWorker(q.now, q.job.BestEffort) && !n.free.Covers(n.capacity):
 		q.isExcluded = true
 		return false, false
 	}
--- a/internal/scheduler/besteffort.go
+++ b/internal/scheduler/besteffort.go
@@ -55,7 +55,7 @@
 	s.enqueue(j)
 	s.logAccepted(now, j)
 	if j.restoreCrashes(abandoned) {
-		s.addSuspects(j)
+		s.addSuspects(now, j)
 		s.advance(now, j)
 	}
 }
--- a/internal/scheduler/crashes.go
+++ b/internal/scheduler/crashes.go
@@ -8,19 +8,38 @@
 	"github.com/teaseltide/teaseltide/pkg/clock"
 )
 
-// maxCrashes is the number of workers that may crash under a task before its job ends
-// as failed. Crashes have other causes too, and every task on the worker counts them: a
-// job that harms nothing meets two within seconds where many workers crash.
-const maxCrashes = 3
+const (
+	// maxCrashes is the number of workers that may crash under a task of a best-effort
+	// job before the job ends as failed. Crashes have other causes too, and every task on
+	// the worker counts them: a job that harms nothing meets two within seconds where many
+	// workers crash. A stored job fails by failed runs only.
+	maxCrashes = 3
+	// minCrashPause is the pause of a stored task after its second crash; it doubles with
+	// each further one up to maxCrashPause. The first crash is mostly that of another
+	// task, so that there is none.
+	minCrashPause = 250 * clock.Millis(1)
+	// maxCrashPause and isolationTime together are below the 3 s after which a task must
+	// have started.
+	maxCrashPause = 2 * clock.Second
+	// isolationTime is how long after its pause a stored task still waits for a worker
+	// of its own.
+	isolationTime = 500 * clock.Millis(1)
+	// maxCrashWriteWait is how long a stored task waits for the write of its crash: with
+	// it, a successor keeps to the pause. The store may fail for longer.
+	maxCrashWriteWait = 1 * clock.Second
+	// maxCrashRecords bounds the attempts in crashedAttempts. It exceeds the number of
+	// crashes with different pauses, and no more reports than one are open for a task.
+	maxCrashRecords = 16
+)
 
 // crashes are the crashes of workers under runs of a task.
 type crashes struct {
-	// crashedAttempts holds the attempts under which a worker crashed. A crash may be
-	// reported several times.
+	// crashedAttempts holds the newest attempts under which a worker crashed. A crash may
+	// be reported several times.
 	crashedAttempts []batch.Attempt
-	// storedCrashes is the number of crashedAttempts in the store, crashesInWrite that
-	// in the newest write.
-	storedCrashes, crashesInWrite int
+	// crashCount is the number of crashes, storedCrashes that in the store,
+	// crashesInWrite that in the newest write.
+	crashCount, storedCrashes, crashesInWrite int
 	// crashedWorkers holds the workers that crashed under the task, as far as this entry
 	// knows.
 	crashedWorkers []Address
@@ -28,31 +47,61 @@
 	lastCrashAt clock.Millis
 }
 
-// hasUnstoredCrash reports whether a crash is not in the store. A stored task must not
-// start again before it is: a successor would not count the crash.
-func (c *crashes) hasUnstoredCrash() bool { return len(c.crashedAttempts) > c.storedCrashes }
+// hasUnstoredCrash reports whether a crash is not in the store.
+func (c *crashes) hasUnstoredCrash() bool { return c.crashCount > c.storedCrashes }
+
+// mayStartAfterCrash reports whether the pause of a stored task is over and its newest
+// crash is in the store, for which it waits briefly.
+func (c *crashes) mayStartAfterCrash(now clock.Millis) bool {
+	sinceCrash := now - c.lastCrashAt
+	return sinceCrash >= c.pause() && (!c.hasUnstoredCrash() || sinceCrash >= maxCrashWriteWait)
+}
+
+// pause is how long a stored task waits after its newest crash.
+func (c *crashes) pause() clock.Millis {
+	if c.crashCount < 2 {
+		return 0
+	}
+	return min(minCrashPause<<min(c.crashCount-2, 8), maxCrashPause)
+}
+
+// hasCounted reports whether the crash under an attempt was counted, or is older than
+// those that are kept.
+func (c *crashes) hasCounted(a batch.Attempt) bool {
+	return slices.Contains(c.crashedAttempts, a) || len(c.crashedAttempts) == maxCrashRecords && a < slices.Min(c.crashedAttempts)
+}
+
+// count counts the crash under an attempt.
+func (c *crashes) count(now clock.Millis, a batch.Attempt) {
+	c.crashCount++
+	c.crashedAttempts = append(c.crashedAttempts, a)
+	if len(c.crashedAttempts) > maxCrashRecords {
+		oldest := slices.Index(c.crashedAttempts, slices.Min(c.crashedAttempts))
+		c.crashedAttempts = slices.Delete(c.crashedAttempts, oldest, oldest+1)
+	}
+	c.lastCrashAt = now
+}
 
 func crashesFromRecord(t *wire.StoredTask) crashes {
 	attempts := attemptsFromRecord(t.GetCrashedAttempts())
-	return crashes{crashedAttempts: attempts, storedCrashes: len(attempts)}
+	return crashes{crashedAttempts: attempts, crashCount: len(attempts), storedCrashes: len(attempts)}
 }
 
 // recordCrash counts the crash of a worker under a run. The worker's health is not
 // charged with it.
 func (s *Scheduler) recordCrash(n *node, j *job, t *task, id batch.RunID) {
-	if t.state == taskDone || slices.Contains(t.crashedAttempts, id.Attempt) {
+	if t.state == taskDone || t.hasCounted(id.Attempt) {
 		return
 	}
-	t.crashedAttempts = append(t.crashedAttempts, id.Attempt)
-	t.lastCrashAt = s.now
+	t.count(s.now, id.Attempt)
 	if !slices.Contains(t.crashedWorkers, n.address) {
 		t.crashedWorkers = append(t.crashedWorkers, n.address)
 	}
-	if len(t.crashedAttempts) == 1 {
+	if t.crashCount == 1 {
 		s.suspects.tasks = append(s.suspects.tasks, boundTask{j, t})
 	}
 	s.counters.Crashes++
-	s.pendingCommands = append(s.pendingCommands, Decision{Summary: "worker crashed under run", Job: j.ID, Run: id, Sidecar: n.address, Value: int64(len(t.crashedAttempts))})
+	s.pendingCommands = append(s.pendingCommands, Decision{Summary: "worker crashed under run", Job: j.ID, Run: id, Sidecar: n.address, Value: int64(t.crashCount)})
 }
 
 // recordCrashOfAbandoned counts the crash of a worker under a run of a best-effort job
@@ -83,6 +132,7 @@
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		t.crashedAttempts = slices.Clone(a.crashedAttempts[j.runID(t).TaskID])
+		t.crashCount = len(t.crashedAttempts)
 	}
 	return len(a.crashedAttempts) > 0
 }
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -103,16 +103,17 @@
 	}
 }
 
-// isPlaceable reports whether a task is pending and may start now. A stored task that has
-// used up its permitted failures must not: its job ends once the write in flight is over.
+// isPlaceable reports whether a task is pending and its turn has come. A stored task that
+// has used up its permitted failures must not start: its job ends once the write in flight
+// is over.
 func (j *job) isPlaceable(t *task) bool {
-	return t.state == taskPending && j.stepReady(t.step) && (j.BestEffort || !t.hasUnstoredCrash() && !j.isExhausted(t))
+	return t.state == taskPending && j.stepReady(t.step) && (j.BestEffort || !j.isExhausted(t))
 }
 
-// isExhausted reports whether as many runs of a task have failed, or crashed their
-// workers, as its job permits.
+// isExhausted reports whether as many runs of a task have failed as its job permits, or of
+// a best-effort job have crashed their workers.
 func (j *job) isExhausted(t *task) bool {
-	return t.failures >= j.MaxFailures || len(t.crashedAttempts) >= maxCrashes
+	return t.failures >= j.MaxFailures || j.BestEffort && t.crashCount >= maxCrashes
 }
 
 // stepReady reports whether all steps that a step depends on are done.
--- a/internal/scheduler/jobwrites.go
+++ b/internal/scheduler/jobwrites.go
@@ -72,8 +72,6 @@
 	}
 	s.advance(now, j)
 	if kind == SaveProgress && result == SaveDone && j.inFlight == noWrite {
-		s.dequeue(j)
-		s.enqueue(j)
 		s.saveCrashes(j)
 	}
 }
--- a/internal/scheduler/placementpass.go
+++ b/internal/scheduler/placementpass.go
@@ -61,10 +61,7 @@
 	}
 	for i := range j.Steps[step].Count {
 		t := &j.tasks[j.firstTask[step]+i]
-		if !j.isPlaceable(t) || t.isSuspect() && !s.maySuspectStart(now, t, j.Service) {
-			continue
-		}
-		if now < t.notBefore {
+		if !j.isPlaceable(t) || now < t.notBefore || t.isSuspect() && !s.maySuspectStart(now, j, t) {
 			continue
 		}
 		if !s.hasAttempt(j, t) {
--- a/internal/scheduler/records.go
+++ b/internal/scheduler/records.go
@@ -30,7 +30,7 @@
 	}
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		t.crashesInWrite = len(t.crashedAttempts)
+		t.crashesInWrite = t.crashCount
 		r.Tasks = append(r.Tasks, &wire.StoredTask{
 			Done: t.state == taskDone, Failures: int32(t.failures),
 			FailedAttempts: storedAttempts(t.failedAttempts), CrashedAttempts: storedAttempts(t.crashedAttempts),
--- a/internal/scheduler/suspects.go
+++ b/internal/scheduler/suspects.go
@@ -23,7 +23,7 @@
 
 // suspects are the tasks under which a worker has crashed. A run of one is kept apart
 // from other runs: each crash counts for all tasks on the worker, and the last one
-// permitted fails their jobs.
+// permitted fails their jobs if they are best-effort jobs.
 type suspects struct {
 	tasks []boundTask
 	// nodes holds the workers to which one is bound.
@@ -33,13 +33,16 @@
 	room map[string]int
 }
 
-func (t *task) isSuspect() bool { return len(t.crashedAttempts) > 0 }
+func (t *task) isSuspect() bool { return t.crashCount > 0 }
 
 // addSuspects adds the tasks of a job under which a worker had crashed before the job
-// came to this entry.
-func (s *Scheduler) addSuspects(j *job) {
+// came to this entry. Those of a stored job are contained as if it had crashed now.
+func (s *Scheduler) addSuspects(now clock.Millis, j *job) {
 	for i := range j.tasks {
 		if t := &j.tasks[i]; t.isSuspect() {
+			if !j.BestEffort {
+				t.lastCrashAt = now
+			}
 			s.suspects.tasks = append(s.suspects.tasks, boundTask{j, t})
 		}
 	}
@@ -69,13 +72,26 @@
 }
 
 // isIsolated reports whether a suspect still waits for a worker without another one.
-func (t *task) isIsolated(now clock.Millis) bool {
-	return t.isSuspect() && now-t.lastCrashAt < maxSuspectWait
+func (t *task) isIsolated(now clock.Millis, bestEffort bool) bool {
+	wait := maxSuspectWait
+	if !bestEffort {
+		wait = max(wait, t.pause()+isolationTime)
+	}
+	return t.isSuspect() && now-t.lastCrashAt < wait
+}
+
+// needsOwnWorker reports whether a task starts only on a worker without other runs, as far
+// as this entry knows: several workers have crashed under it, and it has not waited long.
+func (t *task) needsOwnWorker(now clock.Millis, bestEffort bool) bool {
+	return !bestEffort && t.crashCount >= 2 && t.isIsolated(now, bestEffort)
 }
 
 // maySuspectStart reports whether a suspect may be bound to one more of a service's workers.
-func (s *Scheduler) maySuspectStart(now clock.Millis, t *task, service string) bool {
-	return !t.isIsolated(now) || s.suspectRoom(service) > 0
+func (s *Scheduler) maySuspectStart(now clock.Millis, j *job, t *task) bool {
+	if !j.BestEffort && !t.mayStartAfterCrash(now) {
+		return false
+	}
+	return !t.isIsolated(now, j.BestEffort) || s.suspectRoom(j.Service) > 0
 }
 
 // suspectRoom returns the number of further workers of a service that may get a suspect.
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -102,7 +102,7 @@
 			continue
 		}
 		j := jobFromRecord(o)
-		s.addSuspects(j)
+		s.addSuspects(now, j)
 		s.jobs[o.ID] = j
 		s.stored++
 		t.jobs = append(t.jobs, o.ID)
