scheduler: Tell the sidecars of a cancellation also while its owner seems connected

An entry that cancelled a job of another one told the sidecars only without a session to the owner. The session with an owner that lost power lasts up to 20 s, so that its queued runs could start for 4 s, later than the 3 s after which nothing of a cancelled job may start.

The sidecars are now told 300 to 800 ms after the cancellation in any case. The cases of TestRunsOfACancelledJobAreStoppedIfItsOwnerIsLost with a connected owner demanded no order at all; they now demand none in 200 ms and one in 1 s, and fail without the change.

--- a/internal/scheduler/cancellations.go
+++ b/internal/scheduler/cancellations.go
@@ -15,9 +15,16 @@
 // on the users' platform, orders no starts of stored jobs.
 const cancellationNoteDuration = 10 * clock.Second
 
+// ownerResponseTime is how long the owner of a cancelled job has to stop its runs before
+// this entry tells the sidecars to: several round trips. The session with an owner that is
+// lost without a sign lasts up to 20 s, its queued runs may start for 4 s, and no run of a
+// cancelled job may start later than 3 s after the acknowledgement.
+const ownerResponseTime = 300 * clock.Millis(1)
+
 // notedCancellation is a job of another entry that is cancelled in the store.
 type notedCancellation struct {
 	id    batch.JobID
+	since clock.Millis
 	until clock.Millis
 	// owner is the entry in the record that was cancelled, "" if it is not known.
 	owner ownership.Incarnation
@@ -27,15 +34,15 @@
 
 // RecordCancelledElsewhere records that the store has a job as cancelled that this entry
 // did not hold, and tells the other entries, of which one may own the job. This entry may
-// have taken it over meanwhile. If there is no session with the owner, the sidecars are
-// told: nobody takes over an entry without open jobs, so its runs would go on for as long as
-// its grants last.
+// have taken it over meanwhile. The sidecars are told as well, at once if there is no session
+// with the owner and after ownerResponseTime otherwise: nobody takes over an entry without
+// open jobs, so its runs would go on for as long as its grants last.
 func (s *Scheduler) RecordCancelledElsewhere(now clock.Millis, id batch.JobID, owner ownership.Incarnation, isOwnerLost bool) {
 	s.jobCancelledByPeer(now, id)
 	i := slices.IndexFunc(s.notedCancellations, func(c notedCancellation) bool { return c.id == id })
 	if i < 0 {
 		i = len(s.notedCancellations)
-		s.notedCancellations = append(s.notedCancellations, notedCancellation{id: id, until: now + cancellationNoteDuration, owner: owner})
+		s.notedCancellations = append(s.notedCancellations, notedCancellation{id: id, since: now, until: now + cancellationNoteDuration, owner: owner})
 		s.sendCancellations([]string{string(id)})
 	}
 	if isOwnerLost {
@@ -73,8 +80,12 @@
 func (s *Scheduler) repeatCancellations(now clock.Millis) {
 	s.notedCancellations = slices.DeleteFunc(s.notedCancellations, func(c notedCancellation) bool { return now >= c.until })
 	var ids []string
-	for _, c := range s.notedCancellations {
+	for i := range s.notedCancellations {
+		c := &s.notedCancellations[i]
 		ids = append(ids, string(c.id))
+		if now-c.since >= ownerResponseTime {
+			s.stopRunsOfCancelled(c)
+		}
 	}
 	if len(ids) > 0 {
 		s.sendCancellations(ids)
--- a/internal/scheduler/cancellations_test.go
+++ b/internal/scheduler/cancellations_test.go
@@ -109,20 +109,22 @@
 	return told
 }
 
-// Guards against runs of a cancelled job that go on until the grants of its dead owner
-// lapse: nobody deposes an entry without open jobs.
+// Guards against runs of a cancelled job that go on, or start, until the grants of its dead
+// owner lapse: nobody deposes an entry without open jobs. An owner that is lost without a
+// sign keeps its session for up to 20 s, so that the sidecars are told in any case; an owner
+// with a session gets some time to do so itself.
 func TestRunsOfACancelledJobAreStoppedIfItsOwnerIsLost(t *testing.T) {
 	const owner, other = ownership.Incarnation("entry-b"), ownership.Incarnation("entry-c")
 	for name, test := range map[string]struct {
 		isLost bool
 		lost   []ownership.Incarnation
-		want   int
+		atOnce int
 	}{
-		"owner lost before":          {isLost: true, want: 1},
-		"owner lost after":           {lost: []ownership.Incarnation{owner}, want: 1},
-		"lost before and also after": {isLost: true, lost: []ownership.Incarnation{owner}, want: 1},
-		"owner connected":            {want: 0},
-		"another entry lost":         {lost: []ownership.Incarnation{other}, want: 0},
+		"owner lost before":          {isLost: true, atOnce: 1},
+		"owner lost after":           {lost: []ownership.Incarnation{owner}, atOnce: 1},
+		"lost before and also after": {isLost: true, lost: []ownership.Incarnation{owner}, atOnce: 1},
+		"owner connected":            {atOnce: 0},
+		"another entry lost":         {lost: []ownership.Incarnation{other}, atOnce: 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newTestbed(t, 2)
@@ -131,16 +133,21 @@
 			for _, id := range test.lost {
 				b.s.EntryDisconnected(id)
 			}
-			b.advance(clock.Second)
-			told := b.cancelledAtSidecars()
+			b.advance(200)
+			atOnce := b.cancelledAtSidecars()
+			b.advance(800)
+			inAll := b.cancelledAtSidecars()
 			for i := range 2 {
-				if got := told[address(i)]; got != test.want {
-					t.Errorf("orders to sidecar %d that name the job: got %d, want %d", i, got, test.want)
+				if got := atOnce[address(i)]; got != test.atOnce {
+					t.Errorf("orders to sidecar %d that name the job, in 200 ms: got %d, want %d", i, got, test.atOnce)
+				}
+				if got := inAll[address(i)]; got != 1 {
+					t.Errorf("orders to sidecar %d that name the job, in 1 s: got %d, want 1", i, got)
 				}
 			}
 			b.connect("w2", 20_000)
-			if got := b.cancelledAtSidecars()["w2"]; got != test.want {
-				t.Errorf("orders to a sidecar that connects later: got %d, want %d", got, test.want)
+			if got := b.cancelledAtSidecars()["w2"]; got != 1 {
+				t.Errorf("orders to a sidecar that connects later: got %d, want 1", got)
 			}
 		})
 	}
