--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -63,6 +63,7 @@
 	jobs           map[batch.JobID]*job
 	// queue holds the jobs with pending tasks, most urgent first.
 	queue []*job
+	pass  placementPass
 	ended map[batch.JobID]endedJob
 	// endedOrder holds the ended jobs, oldest first.
 	endedOrder []batch.JobID
@@ -171,8 +172,9 @@
 		peerPending:         make(map[ownership.Incarnation]peerPending),
 		pools:               make(map[string]*pool),
 		patience:            make(map[batch.Route]patience),
-		suspects:            suspects{nodes: make(map[Address]bool)},
+		suspects:            suspects{nodes: make(map[Address]bool), room: make(map[string]int)},
 		entryCount:          1,
+		pass:                placementPass{classes: make(map[classKey]*placementClass)},
 	}
 }
 
@@ -269,6 +271,7 @@
 		s.notedPending = len(own) > 0
 		s.pendingCommands = append(s.pendingCommands, BroadcastNote{Note: &wire.EntryNote{Pending: own}})
 	}
+	s.pass.forgetClasses(now)
 	s.repeatCancellations(now)
 	maps.DeleteFunc(s.peerPending, func(_ ownership.Incarnation, p peerPending) bool { return p.dropAt != 0 && now >= p.dropAt })
 }
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -9,11 +9,6 @@
 	"github.com/teaseltide/teaseltide/pkg/clock"
 )
 
-// attemptsPerOwner separates the attempts of a job's successive owners: a
-// successor's attempts are higher than those of its predecessor that it does not
-// know.
-const attemptsPerOwner = 1000
-
 // takeover is the recovery of the jobs of a deposed entry.
 type takeover struct {
 	deposed ownership.Incarnation
@@ -39,7 +34,8 @@
 	ID       batch.JobID
 	Revision int64
 	Record   *wire.StoredJob
-	// PreviousOwners is the number of entries that owned the job before this one.
+	// PreviousOwners is the number of owners from the one in the record up to this entry,
+	// without it.
 	PreviousOwners int
 }
 
@@ -106,7 +102,7 @@
 			continue
 		}
 		j := jobFromRecord(o)
-		s.addSuspects(j)
+		s.addSuspects(now, j)
 		s.jobs[o.ID] = j
 		s.stored++
 		t.jobs = append(t.jobs, o.ID)
@@ -138,54 +134,6 @@
 	}
 }
 
-// jobFromRecord returns the job of a store record, in recovery.
-func jobFromRecord(o OpenJob) *job {
-	r := o.Record
-	b := batch.Job{
-		ID: o.ID, Route: batch.Route(r.GetRoute()), Service: r.GetService(), Spec: r.GetSpec(), Priority: int(r.GetPriority()),
-		MaxFailures: int(r.GetMaxFailures()), Objective: clock.Millis(r.GetObjectiveMs()),
-	}
-	for _, st := range r.GetSteps() {
-		step := batch.Step{
-			Count: int(st.GetCount()), EstimatedRunTime: clock.Millis(st.GetEstimatedMs()), RequiredLabel: st.GetLabel(), DataRack: st.GetRack(),
-			Required:     batch.Resources{CPU: st.GetCpu(), MemoryMB: st.GetMemoryMb(), Accelerators: st.GetAccelerators()},
-			MaxPerWorker: int(st.GetMaxPerWorker()),
-		}
-		for _, after := range st.GetAfter() {
-			step.DependsOn = append(step.DependsOn, int(after))
-		}
-		b.Steps = append(b.Steps, step)
-	}
-	j := newJob(clock.Millis(r.GetAcceptedAtMs()), b)
-	j.revision = o.Revision
-	j.nonce = r.GetNonce()
-	j.recovering = true
-	j.baseAttempt = batch.Attempt(o.PreviousOwners) * attemptsPerOwner
-	for i, t := range r.GetTasks() {
-		if i >= len(j.tasks) {
-			break
-		}
-		j.tasks[i].failures = int(t.GetFailures())
-		j.tasks[i].failedAttempts = attemptsFromRecord(t.GetFailedAttempts())
-		j.tasks[i].crashes = crashesFromRecord(t)
-		if t.GetDone() {
-			j.tasks[i].state = taskDone
-			j.remaining[j.tasks[i].step]--
-			j.started = true
-		}
-	}
-	return j
-}
-
-// attemptsFromRecord returns attempts of a task's store record.
-func attemptsFromRecord(stored []int64) []batch.Attempt {
-	attempts := make([]batch.Attempt, 0, len(stored))
-	for _, a := range stored {
-		attempts = append(attempts, batch.Attempt(a))
-	}
-	return attempts
-}
-
 // recordFenced records the fences that a sidecar has applied.
 func (s *Scheduler) recordFenced(now clock.Millis, n *node, r *wire.TaskReport) {
 	for _, t := range s.takeovers {
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -31,6 +31,10 @@
 	attemptFloor batch.Attempt
 	node         Address
 	boundAt      clock.Millis
+	// notBefore is the time of the next search for a worker.
+	notBefore clock.Millis
+	// refusals is the number of consecutive starts that did not lead to a run.
+	refusals int
 	// sequence is that of the orders with the start, 0 for an adopted run.
 	sequence int64
 	failures int
@@ -85,6 +89,7 @@
 	t.attempt = s.nextAttempt(j, t)
 	t.node = n.address
 	t.boundAt = now
+	j.waitingSince = now
 	t.sequence = n.sequence + 1
 	j.pendingTasks--
 	step := &j.Steps[t.step]
@@ -213,6 +218,7 @@
 	}
 	if e.GetState() != wire.TaskEvent_STATE_QUEUED && e.GetState() != wire.TaskEvent_STATE_NOT_STARTED {
 		t.ran = true
+		t.refusals = 0
 	}
 	if e.GetState() != wire.TaskEvent_STATE_QUEUED && e.GetState() != wire.TaskEvent_STATE_RUNNING {
 		t.removeOtherRun(n, id)
@@ -234,6 +240,7 @@
 			if n.evacuated {
 				s.counters.StartsEvacuated++
 			}
+			t.delayAfterRefusal(now, j.BestEffort)
 			s.unbind(j, t)
 			s.advance(now, j)
 		}
