scheduler: Keep the majorities of two entries for a job lease in common

An entry replaced a witness that was silent for it alone, and asked the third witness after a refusal. Majorities of {1, 2, 3} and {2, 3, 4} need not have a witness in common, so two entries could run one job after a single cut or restart, once its caller had left unnoticed.

A silent witness is now replaced only if fewer than two of the three are present, and a new lease is given up after one refusal.

--- a/internal/scheduler/jobleases.go
+++ b/internal/scheduler/jobleases.go
@@ -165,8 +165,12 @@
 		// runs.
 		j.ranBefore = true
 		l.refused++
-		s.askWitnesses(j, len(l.witnesses))
-		if l.refused > len(l.witnesses)-l.quorum() {
+		// The sets of two entries differ while witnesses restart or fall silent, so for a new
+		// lease one refusal counts: the other entry may have its quorum outside this set.
+		if now < l.until {
+			s.askWitnesses(j, len(l.witnesses))
+		}
+		if now >= l.until || l.refused > len(l.witnesses)-l.quorum() {
 			s.pendingCommands = append(s.pendingCommands, Decision{Summary: "job held by another entry", Job: j.ID, Value: l.number})
 			// A lease that this entry had is lost, because witnesses have forgotten it.
 			l.until = 0
--- a/internal/scheduler/jobleases_test.go
+++ b/internal/scheduler/jobleases_test.go
@@ -17,6 +17,8 @@
 	executors map[scheduler.Address]*executor.Executor
 	// silent holds the sidecars that don't answer.
 	silent map[scheduler.Address]bool
+	// lost holds the sidecars whose answers are lost; their reports arrive.
+	lost map[scheduler.Address]bool
 }
 
 func newWitnesses(count int) *witnesses {
@@ -29,7 +31,7 @@
 
 // handle passes requests to a sidecar and returns its answers, nil without any.
 func (w *witnesses) handle(now clock.Millis, from ownership.Incarnation, a scheduler.Address, requests *wire.JobLeaseRequests) *wire.JobLeaseAnswers {
-	if w.silent[a] {
+	if w.silent[a] || w.lost[a] {
 		return nil
 	}
 	return w.executors[a].JobLeasesRequested(now, from, requests)
--- a/internal/scheduler/witnesses.go
+++ b/internal/scheduler/witnesses.go
@@ -131,15 +131,44 @@
 }
 
 // witnessesOf returns the witnesses of a job, present ones first: the highest by
-// rendezvous hashing, so that all entries ask the same ones. Silent sidecars are passed
-// over once the entry has been in touch with all others for some time.
+// rendezvous hashing, so that all entries ask the same ones. A silent sidecar may be silent
+// for this entry alone, so others replace it only if fewer than a quorum of the highest are
+// present, and once the entry has been in touch with all others for some time.
 func (s *Scheduler) witnessesOf(now clock.Millis, id batch.JobID) []*witness {
+	best := s.witnesses.highest(id, false)
 	settled := s.witnesses.hasArrived && now-s.witnesses.arrivedAt >= witnessSettleTime
+	if settled && countPresent(best) < len(best)/2+1 {
+		best = s.witnesses.highest(id, true)
+	}
+	var present, silent []*witness
+	for _, w := range best {
+		if w.isPresent {
+			present = append(present, w)
+		} else {
+			silent = append(silent, w)
+		}
+	}
+	return append(present, silent...)
+}
+
+func countPresent(witnesses []*witness) int {
+	n := 0
+	for _, w := range witnesses {
+		if w.isPresent {
+			n++
+		}
+	}
+	return n
+}
+
+// highest returns the highest candidates by rendezvous hashing, of all sidecars or of the
+// present ones.
+func (ws *witnessSet) highest(id batch.JobID, presentOnly bool) []*witness {
 	key := xxhash.Sum64String(string(id))
 	var best [witnessesPerJob]*witness
 	var ranks [witnessesPerJob]uint64
-	for _, w := range s.witnesses.all {
-		if !w.isCandidate(settled) {
+	for _, w := range ws.all {
+		if !w.isCandidate(presentOnly) {
 			continue
 		}
 		rank := mix(key ^ w.hash)
@@ -153,29 +182,18 @@
 			}
 		}
 	}
-	var present, silent []*witness
-	for _, w := range best {
-		switch {
-		case w == nil:
-		case w.isPresent:
-			present = append(present, w)
-		default:
-			silent = append(silent, w)
-		}
-	}
-	return append(present, silent...)
+	return slices.DeleteFunc(best[:], func(w *witness) bool { return w == nil })
 }
 
-// isCandidate reports whether a sidecar may be a witness. settled is true if all sidecars
-// that can be reached are present.
-func (w *witness) isCandidate(settled bool) bool {
+// isCandidate reports whether a sidecar may be a witness.
+func (w *witness) isCandidate(presentOnly bool) bool {
 	switch {
 	case w.node != nil && w.node.load != nil && !w.node.grantsJobLeases:
 		return false
 	case w.isPresent:
 		return true
 	}
-	return !settled && (w.isListed || w.node != nil)
+	return !presentOnly && (w.isListed || w.node != nil)
 }
 
 // mix spreads the bits of a hash (the finalizer of SplitMix64).
