--- a/internal/executor/ends.go
+++ b/internal/executor/ends.go
@@ -19,7 +19,7 @@
 		if r != nil {
 			x.discard(r)
 		}
-		r = x.addDiscovered(now, le.Run, running)
+		r = x.addDiscovered(now, le.Run)
 	}
 	if r.id.Attempt > le.Run.Attempt || r.phase == ended {
 		return
--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -291,8 +291,15 @@
 // addEvent queues an event for the entry that owns a run, if it is connected.
 func (x *Executor) addEvent(r *run, state wire.TaskEvent_State) { x.addEventFor(r.owner, r, state) }
 
-// addEventToAll queues an event for the owner of a run and the entries that watch it.
+// addEventToAll queues an event for the owner of a run and the entries that watch it. An
+// event of a run without a known owner goes to all entries, one of which may hold the job.
 func (x *Executor) addEventToAll(r *run, state wire.TaskEvent_State) {
+	if r.owner == "" {
+		for id := range x.entries {
+			x.addEventFor(id, r, state)
+		}
+		return
+	}
 	x.addEvent(r, state)
 	for _, w := range r.watchers {
 		if w != r.owner {
@@ -317,7 +324,7 @@
 func (r *run) event(state wire.TaskEvent_State) *wire.TaskEvent {
 	return &wire.TaskEvent{
 		Run: r.id.Wire(), State: state, RunMs: int64(r.runTime), BestEffort: r.bestEffort,
-		WorkerCrashed: r.workerCrashed && state == wire.TaskEvent_STATE_LOST,
+		WorkerCrashed: r.workerCrashed && state == wire.TaskEvent_STATE_LOST, Unclaimed: r.owner == "",
 	}
 }
 
@@ -377,7 +384,7 @@
 	report := &wire.TaskReport{
 		SentAt: int64(now), Events: e.events, Load: x.workerLoad(), Deposed: e.deposed,
 		Received: e.received, Unclaimed: x.unclaimed(now, id), Offer: x.offer.entry == id,
-		Held: x.offer.entry != "" && x.offer.entry != id, GrantsJobLeases: true,
+		Held: x.offer.entry != "" && x.offer.entry != id, GrantsJobLeases: true, HasMoreEnds: x.runsListed && x.backlog.full,
 	}
 	if report.Offer && x.offer.sentAt == 0 {
 		x.offer.sentAt = now
@@ -387,9 +394,7 @@
 		e.appliedFences = nil
 	}
 	if e.inventoryDue && x.runsListed {
-		report.Inventory = true
-		report.Events = x.inventory(id)
-		e.inventoryDue = false
+		x.addInventory(report, id, e)
 	}
 	e.events, e.urgent = nil, false
 	e.sentAt = now
@@ -398,6 +403,20 @@
 	return report
 }
 
+// addInventory adds the inventory of an entry to a report. A partial one comes after the
+// events that it does not replace.
+func (x *Executor) addInventory(report *wire.TaskReport, id ownership.Incarnation, e *entry) {
+	e.inventoryDue = false
+	e.partialInventory = !x.backlog.read
+	if e.partialInventory {
+		report.PartialInventory = true
+		report.Events = append(report.Events, x.inventory(id)...)
+		return
+	}
+	report.Inventory = true
+	report.Events = x.inventory(id)
+}
+
 // inventory lists the runs of an entry and those without a known owner.
 func (x *Executor) inventory(id ownership.Incarnation) []*wire.TaskEvent {
 	var events []*wire.TaskEvent
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -120,7 +120,9 @@
 	storedGrantedFrom clock.Millis
 	// inventoryDue is true if the next report must list all runs of the entry.
 	inventoryDue bool
-	events       []*wire.TaskEvent
+	// partialInventory is true if the last inventory was partial.
+	partialInventory bool
+	events           []*wire.TaskEvent
 	// urgent is true if an event must be reported without delay.
 	urgent bool
 	// appliedFences lists the entries that were deposed by orders of this entry
@@ -159,9 +161,11 @@
 	// runsListed is true after the worker has listed its runs under this sidecar's
 	// token; nothing is started before then.
 	runsListed bool
-	// hasListed is true once runsListed was true. Before, the worker may have runs of an
-	// earlier sidecar that are not known here.
+	// hasListed is true once the worker has listed its runs and all ends under this
+	// sidecar's token. Before, it may have runs of an earlier sidecar that are not known
+	// here.
 	hasListed bool
+	backlog   backlog
 	// replaced is true from the replacement of the worker until the first listing of
 	// the new incarnation under a higher token.
 	replaced bool
@@ -233,6 +237,7 @@
 	return &Executor{
 		token:       token,
 		maxLease:    maxLease,
+		backlog:     backlog{listLimit: maxListedEnds},
 		runs:        make(map[batch.TaskID]*run),
 		crashedRuns: make(map[batch.RunID]*run),
 		attempts:    make(map[batch.TaskID]attempt),
@@ -298,4 +303,3 @@
 	}
 	return n
 }
-
--- a/internal/executor/leases.go
+++ b/internal/executor/leases.go
@@ -116,6 +116,10 @@
 		needed = true
 		until = min(until, x.leaseLimit(r))
 	}
+	if limit := x.backlogLease(); x.isReading() && limit > now {
+		needed = true
+		until = min(until, limit)
+	}
 	if !needed || until <= now {
 		return 0
 	}
--- a/internal/executor/listings.go
+++ b/internal/executor/listings.go
@@ -132,7 +132,7 @@
 		present[le.Run] = true
 		x.handleListedEnd(now, le)
 	}
-	isFull := len(l.Ended) >= maxListedEnds
+	isFull := len(l.Ended) >= x.backlog.listLimit
 	for _, r := range x.runs {
 		if present[r.id] || isFull {
 			continue
@@ -154,7 +154,10 @@
 		}
 	}
 	x.runsListed = x.runsListed || l.Token == x.token
-	x.hasListed = x.hasListed || x.runsListed
+	if x.runsListed {
+		x.recordListedEnds(isFull)
+	}
+	x.hasListed = x.hasListed || x.runsListed && x.backlog.read
 	if x.runsListed && x.replaced {
 		// Earlier calls may have renewed the lease up to now, with an end by the clock
 		// of the previous incarnation.
@@ -166,10 +169,6 @@
 	}
 }
 
-// maxListedEnds is the greatest number of ends in one listing. A full listing may
-// omit ends, so it tells nothing about the runs missing from it.
-const maxListedEnds = 500
-
 // handleListedRun updates or adds a run that the worker lists as active.
 func (x *Executor) handleListedRun(now clock.Millis, lr ListedRun) {
 	r := x.runs[lr.Run.TaskID]
@@ -177,7 +176,7 @@
 		if r != nil {
 			x.discard(r)
 		}
-		x.addDiscovered(now, lr.Run, running)
+		x.addEventToAll(x.addDiscovered(now, lr.Run), wire.TaskEvent_STATE_RUNNING)
 		return
 	}
 	if r.id.Attempt > lr.Run.Attempt {
@@ -203,16 +202,12 @@
 
 // addDiscovered adds a run that an earlier sidecar of the worker started. Nothing
 // else is started until the owner's adoption gives its resources or the run ends.
-func (x *Executor) addDiscovered(now clock.Millis, id batch.RunID, p phase) *run {
-	r := &run{id: id, phase: p, startedAt: now, lastProgressAt: now, discoveredAt: now, orderedAt: now}
+func (x *Executor) addDiscovered(now clock.Millis, id batch.RunID) *run {
+	r := &run{id: id, phase: running, startedAt: now, lastProgressAt: now, discoveredAt: now, orderedAt: now}
 	x.runs[id.TaskID] = r
 	x.unsizedRuns++
 	x.loadVersion++
 	x.attempts[id.TaskID] = attempt{number: id.Attempt, at: now}
-	for _, e := range x.entries {
-		e.events = append(e.events, &wire.TaskEvent{Run: id.Wire(), State: wire.TaskEvent_STATE_RUNNING})
-		e.urgent = true
-	}
 	return r
 }
 
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -84,6 +84,7 @@
 		}
 	}
 	x.runsListed = false
+	x.resetBacklog()
 	x.cursor = 0
 	x.leaseUntil = 0
 	x.openRenewals = nil
@@ -111,6 +112,7 @@
 func (x *Executor) WorkerUnreachable(now clock.Millis) {
 	if x.runsListed {
 		x.runsListed = false
+		x.pauseReading()
 		x.loadVersion++
 	}
 	if x.silentSince == 0 {
@@ -183,4 +185,3 @@
 		}
 	}
 }
-
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -483,9 +483,9 @@
 const progressDelay = 1500 * clock.Millis(1)
 
 // saveProgress writes the progress of a job with an unstored crash, or with an end
-// that has been unstored for progressDelay.
+// that has been unstored for progressDelay or holds up the ends behind it.
 func (s *Scheduler) saveProgress(now clock.Millis, j *job) {
-	if len(j.unstoredEnds) > 0 && now-j.unstoredSince >= progressDelay {
+	if len(j.unstoredEnds) > 0 && (now-j.unstoredSince >= progressDelay || s.holdsUpEnds(j)) {
 		s.writeProgress(j)
 		return
 	}
@@ -494,7 +494,7 @@
 
 // writeProgress writes the progress of a job, unless a write is in flight.
 func (s *Scheduler) writeProgress(j *job) {
-	if j.inFlight != noWrite || j.recovering || s.jobs[j.ID] != j {
+	if j.inFlight != noWrite || j.recovering && !s.holdsUpEnds(j) || s.jobs[j.ID] != j {
 		return
 	}
 	j.inFlight = progressWrite
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -44,6 +44,12 @@
 	connected   bool
 	// hasInventory is true once the sidecar has listed its runs in this session.
 	hasInventory bool
+	// hasMoreEnds is true while the worker may have ends that it cannot list before earlier
+	// ones are acknowledged.
+	hasMoreEnds bool
+	// readingEnds is true while the sidecar has listed some of its runs and reads the ends
+	// of the others.
+	readingEnds bool
 	// handlingInventory is true while the events of an inventory are handled.
 	handlingInventory bool
 	load              *wire.WorkerLoad
@@ -173,6 +179,7 @@
 	n.connected = true
 	s.subsetUpdate.due = true
 	n.hasInventory = false
+	n.hasMoreEnds, n.readingEnds = false, false
 	n.sequence = 0
 	n.reportSentAt = 0
 	n.unacknowledgedStarts = nil
@@ -208,6 +215,7 @@
 	s.subsetUpdate.due = true
 	n.connected = false
 	n.hasInventory = false
+	n.hasMoreEnds, n.readingEnds = false, false
 	n.pendingOrders = nil
 }
 
@@ -226,9 +234,14 @@
 		n.reservedUntil = now + s.settings.OfferDuration
 	}
 	s.updateLoad(n, r)
-	if r.GetInventory() {
+	n.hasMoreEnds = r.GetHasMoreEnds()
+	n.readingEnds = r.GetHasMoreEnds() && (n.readingEnds || r.GetPartialInventory())
+	switch {
+	case r.GetInventory():
 		s.handleInventory(now, n, r)
-	} else {
+	case r.GetPartialInventory():
+		s.handleListedRuns(now, n, r)
+	default:
 		for _, e := range r.GetEvents() {
 			s.handleEvent(now, n, e)
 		}
@@ -263,6 +276,18 @@
 // entry. A run that is not listed has not started there and will not, unless its
 // start is in flight.
 func (s *Scheduler) handleInventory(now clock.Millis, n *node, r *wire.TaskReport) {
+	listed := s.handleListedRuns(now, n, r)
+	for _, b := range n.runs {
+		if !listed[b.job.runID(b.task)] && b.task.sequence <= r.GetReceived() {
+			s.abandonRun(b, n, "not in the inventory")
+		}
+	}
+	n.hasInventory = true
+}
+
+// handleListedRuns handles the runs of an inventory, which may be partial, and returns
+// them. Nothing is known of a run that a partial one lacks.
+func (s *Scheduler) handleListedRuns(now clock.Millis, n *node, r *wire.TaskReport) map[batch.RunID]bool {
 	listed := make(map[batch.RunID]bool, len(r.GetEvents()))
 	n.handlingInventory = true
 	for _, e := range r.GetEvents() {
@@ -270,12 +295,7 @@
 		s.handleEvent(now, n, e)
 	}
 	n.handlingInventory = false
-	for _, b := range n.runs {
-		if !listed[b.job.runID(b.task)] && b.task.sequence <= r.GetReceived() {
-			s.abandonRun(b, n, "not in the inventory")
-		}
-	}
-	n.hasInventory = true
+	return listed
 }
 
 // abandonRun returns a bound task to pending whose run has certainly ended.
@@ -329,7 +349,7 @@
 		}
 		unmet := s.demandFor(now, n)
 		updateDue := n.outsideSubset != n.outsideSubsetSent ||
-			n.hasInventory && n.reportSentAt != n.grantedFrom && n.reportSentAt != 0 && (n.offered || s.needsGrant(n) && now-n.grantedReportAt >= grantInterval)
+			n.mayGrant() && n.reportSentAt != n.grantedFrom && n.reportSentAt != 0 && (n.offered || s.needsGrant(n) && now-n.grantedReportAt >= grantInterval)
 		demandRaised := unmet.urgency != 0 && (n.sentDemand == 0 || unmet.urgency < n.sentDemand) && now-n.sentDemandAt >= demandInterval
 		if n.pendingOrders == nil && !updateDue && !demandRaised {
 			continue
@@ -338,7 +358,7 @@
 		n.pendingOrders = nil
 		n.sequence++
 		orders.Sequence = n.sequence
-		if n.hasInventory {
+		if n.mayGrant() {
 			orders.GrantedFrom = n.reportSentAt
 		}
 		orders.StoredWithheld = storedWithheld
@@ -355,11 +375,15 @@
 	}
 }
 
+// mayGrant reports whether the sidecar has the runs that this entry had there, or reads
+// their ends from its worker. Its reports tell at once if it no longer does.
+func (n *node) mayGrant() bool { return n.hasInventory || n.readingEnds }
+
 // recordGrant records that orders with a grant are sent. Without an inventory there is
 // none: a sidecar that has restarted knows no runs while its worker is away, and the
 // runs that this entry had there would be kept for ever.
 func (n *node) recordGrant(storedWithheld bool) {
-	if !n.hasInventory {
+	if !n.mayGrant() {
 		return
 	}
 	n.grantedFrom = n.reportSentAt
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -205,7 +205,7 @@
 // runs or can run nothing any more.
 func (s *Scheduler) completeTakeovers(now clock.Millis) {
 	s.takeovers = slices.DeleteFunc(s.takeovers, func(t *takeover) bool {
-		if (t.awaitsSilence || len(t.awaitingInventory) > 0) && now < t.silentUntil {
+		if (t.awaitsSilence || len(t.awaitingInventory) > 0) && now < t.silentUntil || s.isAwaitingEnds(t) {
 			return false
 		}
 		for _, id := range t.jobs {
