executor, scheduler: Pass over the ends of superseded runs

Cause: the entry ignored the end "done" of a run that it had given up until the worker's lease would have lapsed, which nobody brought about and the sidecar did not record.

Change: the sidecar records when the lease is certainly over and marks the ends before it. Such an end is passed over, or completes its task if no other run did; any other is voided: the sidecar lets the lease lapse first.

--- a/internal/executor/backlog.go
+++ b/internal/executor/backlog.go
@@ -20,6 +20,9 @@
 	read bool
 	// reading is true after a full listing, until read is.
 	reading bool
+	// lapsed is true if the worker's lease has lapsed before read was true. The ends that
+	// were not listed yet are older.
+	lapsed bool
 	// full is true if the last listing was full.
 	full bool
 }
@@ -61,7 +64,7 @@
 
 // resetBacklog handles a new incarnation of the worker, which has ends of its own.
 func (x *Executor) resetBacklog() {
-	x.backlog.read, x.backlog.reading, x.backlog.full = false, false, false
+	x.backlog = backlog{listLimit: x.backlog.listLimit}
 }
 
 // pauseReading handles an unreachable worker. The entries stop granting for runs that
--- a/internal/executor/ends.go
+++ b/internal/executor/ends.go
@@ -1,8 +1,7 @@
 package executor
 
 import (
-	"cmp"
-	"slices"
+	"math"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
 	"github.com/teaseltide/teaseltide/internal/wire"
@@ -20,8 +19,13 @@
 			x.discard(r)
 		}
 		r = x.addDiscovered(now, le.Run)
+		r.lapsed = x.backlog.lapsed || x.lostByLapse(le.Run)
 	}
-	if r.id.Attempt > le.Run.Attempt || r.phase == ended {
+	if r.id.Attempt > le.Run.Attempt {
+		x.passOver(le.Sequence, le.Run, le.End, x.backlog.lapsed)
+		return
+	}
+	if r.phase == ended {
 		return
 	}
 	r.endSequence = le.Sequence
@@ -62,18 +66,27 @@
 // advanceCursor advances the cursor over the ends that may be acknowledged, up to
 // the first that may not, and removes their runs.
 func (x *Executor) advanceCursor() {
-	var ends []*run
+	blocked := int64(math.MaxInt64)
+	for sequence, e := range x.superseded {
+		if !e.mayPass() {
+			blocked = min(blocked, sequence)
+		}
+	}
 	for _, r := range x.runs {
-		if r.phase == ended {
-			ends = append(ends, r)
+		if r.phase == ended && (!r.acknowledgeable || r.isWithheld()) {
+			blocked = min(blocked, r.endSequence)
+		}
+	}
+	for id, r := range x.runs {
+		if r.phase == ended && r.endSequence < blocked {
+			x.cursor = max(x.cursor, r.endSequence)
+			delete(x.runs, id)
 		}
 	}
-	slices.SortFunc(ends, func(a, b *run) int { return cmp.Compare(a.endSequence, b.endSequence) })
-	for _, r := range ends {
-		if !r.acknowledgeable {
-			return
+	for sequence := range x.superseded {
+		if sequence < blocked {
+			x.cursor = max(x.cursor, sequence)
+			delete(x.superseded, sequence)
 		}
-		x.cursor = max(x.cursor, r.endSequence)
-		delete(x.runs, r.id.TaskID)
 	}
 }
--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -119,6 +119,9 @@
 		}
 		x.confirmCrash(from, batch.RunIDFromWire(id))
 	}
+	for _, id := range o.GetVoids() {
+		x.voidEnd(now, from, batch.RunIDFromWire(id))
+	}
 	for _, id := range o.GetReleases() {
 		x.confirmCrash(from, batch.RunIDFromWire(id))
 		x.handleRelease(now, from, batch.RunIDFromWire(id))
@@ -184,7 +187,9 @@
 // watch reports the end of a run also to an entry that does not own it.
 func (x *Executor) watch(from ownership.Incarnation, r *run) {
 	if r.phase == ended {
-		x.addEventFor(from, r, endState(r))
+		if !r.isWithheld() {
+			x.addEventFor(from, r, endState(r))
+		}
 		return
 	}
 	if r.owner != from && !slices.Contains(r.watchers, from) {
@@ -211,7 +216,7 @@
 		x.addEvent(r, wire.TaskEvent_STATE_NOT_STARTED)
 		return
 	}
-	x.attempts[id.TaskID] = attempt{number: id.Attempt, at: now}
+	x.recordAttempt(id, now)
 	if !x.ready() || now-reportAt > maxOrderAge || !x.worker.Capacity.Covers(r.resources) {
 		x.logRefused(r, x.refusalReason(r, now-reportAt), now-reportAt)
 		x.addEvent(r, wire.TaskEvent_STATE_NOT_STARTED)
@@ -238,7 +243,7 @@
 		// The start may still be in flight to this sidecar; recording the attempt
 		// rejects it on arrival.
 		if known := x.attempts[id.TaskID]; known.number < id.Attempt {
-			x.attempts[id.TaskID] = attempt{number: id.Attempt, at: known.at}
+			x.recordAttempt(id, known.at)
 		}
 		if !x.hasListed {
 			return
@@ -325,6 +330,7 @@
 	return &wire.TaskEvent{
 		Run: r.id.Wire(), State: state, RunMs: int64(r.runTime), BestEffort: r.bestEffort,
 		WorkerCrashed: r.workerCrashed && state == wire.TaskEvent_STATE_LOST, Unclaimed: r.owner == "",
+		Lapsed: r.phase == ended && r.lapsed,
 	}
 }
 
@@ -421,7 +427,7 @@
 func (x *Executor) inventory(id ownership.Incarnation) []*wire.TaskEvent {
 	var events []*wire.TaskEvent
 	for _, r := range x.runs {
-		if r.void || r.owner != id && r.owner != "" && !slices.Contains(r.watchers, id) {
+		if r.void || r.isWithheld() || r.owner != id && r.owner != "" && !slices.Contains(r.watchers, id) {
 			continue
 		}
 		state := wire.TaskEvent_STATE_RUNNING
@@ -449,7 +455,7 @@
 	}
 	var unclaimed []*wire.TaskRun
 	for _, r := range x.runs {
-		if r.owner == "" && !r.acknowledgeable && now-max(r.discoveredAt, r.resolveRequestedAt) >= unclaimedDelay {
+		if r.owner == "" && !r.acknowledgeable && !r.isWithheld() && now-max(r.discoveredAt, r.resolveRequestedAt) >= unclaimedDelay {
 			r.resolveRequestedAt = now
 			unclaimed = append(unclaimed, r.id.Wire())
 		}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -193,6 +193,8 @@
 	// cursor is the sequence up to which ends are acknowledged.
 	cursor int64
 	runs   map[batch.TaskID]*run
+	// superseded holds the ends of superseded runs by their sequence.
+	superseded map[int64]supersededEnd
 	// attempts holds the highest attempt of each task that was ordered here.
 	attempts map[batch.TaskID]attempt
 	entries  map[ownership.Incarnation]*entry
@@ -215,6 +217,9 @@
 	// leaseUntil is the latest end of the lease that was requested by a call that may
 	// have been executed, apart from openRenewals.
 	leaseUntil clock.Millis
+	// inheritedLease is when a lease that an earlier sidecar or the start of the worker set
+	// has ended, 0 before the first call.
+	inheritedLease clock.Millis
 	// openRenewals are the renewals of recent listings.
 	openRenewals []renewal
 	// lastListRequest is the number of the last ListRequest.
@@ -224,12 +229,6 @@
 	nextSweepAt     clock.Millis
 }
 
-// attempt is the highest attempt of a task that was ordered here.
-type attempt struct {
-	number batch.Attempt
-	at     clock.Millis
-}
-
 // New returns an Executor. token should be higher than those of earlier sidecars
 // of the worker; if the worker refuses it, TokenRefused raises it. maxLease is the
 // longest lease that the worker grants.
@@ -240,6 +239,7 @@
 		backlog:     backlog{listLimit: maxListedEnds},
 		runs:        make(map[batch.TaskID]*run),
 		crashedRuns: make(map[batch.RunID]*run),
+		superseded:  make(map[int64]supersededEnd),
 		attempts:    make(map[batch.TaskID]attempt),
 		entries:     make(map[ownership.Incarnation]*entry),
 		jobLeases:   make(map[batch.JobID]jobLease),
@@ -250,6 +250,7 @@
 // Tick makes the decisions that are due at now and returns the commands since the
 // last tick.
 func (x *Executor) Tick(now clock.Millis) []Command {
+	x.markLapsed(now)
 	x.checkGrants(now)
 	x.checkProgress(now)
 	x.repeatStops(now)
--- /dev/null
+++ b/internal/executor/lapses.go
@@ -0,0 +1,78 @@
+package executor
+
+import (
+	"github.com/teaseltide/teaseltide/internal/batch"
+	"github.com/teaseltide/teaseltide/internal/ownership"
+	"github.com/teaseltide/teaseltide/pkg/clock"
+)
+
+// unclaimedEndTimeout is how long the worker's lease is renewed although no entry has
+// claimed one of its ends. The entry may be cut off and start the task elsewhere, 2.7 s
+// after the end of an earlier sidecar at the earliest, and the end must not count then.
+const unclaimedEndTimeout = 1200 * clock.Millis(1)
+
+// markLapsed marks the ends after which the worker's lease has certainly lapsed. An
+// acknowledgement of them does not count, so it is harmless also if the task has started
+// elsewhere. Ends that were voided are reported again.
+func (x *Executor) markLapsed(now clock.Millis) {
+	if x.inheritedLease == 0 || now < max(x.latestLease(), x.inheritedLease)+expiryMargin {
+		return
+	}
+	// Without a lease nothing is active, and nothing starts before all ends are read.
+	x.backlog.lapsed = !x.backlog.read
+	for sequence, e := range x.superseded {
+		e.lapsed = true
+		x.superseded[sequence] = e
+	}
+	for _, r := range x.runs {
+		if r.phase != ended || r.lapsed {
+			continue
+		}
+		r.lapsed = true
+		if r.voided {
+			x.addEventToAll(r, endState(r))
+		}
+	}
+}
+
+// awaitsLapse reports whether the worker's lease must lapse because an end must not count.
+func (x *Executor) awaitsLapse(now clock.Millis) bool {
+	for _, e := range x.superseded {
+		if !e.mayPass() {
+			return true
+		}
+	}
+	for _, r := range x.runs {
+		isUnclaimed := r.owner == "" && !r.acknowledgeable && countsOnceAcknowledged(r.end) && now-r.discoveredAt >= unclaimedEndTimeout
+		if r.phase == ended && !r.lapsed && (r.voided || isUnclaimed) {
+			return true
+		}
+	}
+	return false
+}
+
+// voidEnd handles an entry's order that an end must not count: the entry had given the
+// run up and may have started the task elsewhere. The end is acknowledged only after the
+// worker's lease has lapsed.
+func (x *Executor) voidEnd(now clock.Millis, from ownership.Incarnation, id batch.RunID) {
+	r := x.findRun(id)
+	if r == nil || r.phase != ended || r.voided || !x.mayOrder(from, r) {
+		return
+	}
+	r.voided = true
+	if r.lapsed {
+		x.addEventToAll(r, endState(r))
+		return
+	}
+	x.commands = append(x.commands, LeaseExpiring{Entry: from, Run: id, GrantEndedAt: now})
+}
+
+// countsOnceAcknowledged reports whether an end counts for its task: that it is done, or
+// that a run has failed.
+func countsOnceAcknowledged(end batch.Outcome) bool {
+	return end == batch.OutcomeDone || end == batch.OutcomeFailed
+}
+
+// isWithheld reports whether an end is neither reported nor acknowledged until the
+// worker's lease has lapsed.
+func (r *run) isWithheld() bool { return r.voided && !r.lapsed }
--- a/internal/executor/leases.go
+++ b/internal/executor/leases.go
@@ -100,7 +100,7 @@
 // apart from bestEffortStopMargin for best-effort runs. A worker without active runs
 // and unstored ends needs no lease: the next start sets it.
 func (x *Executor) nextLease(now clock.Millis, started *run) clock.Millis {
-	if x.leaseExpiredBy != 0 {
+	if x.leaseExpiredBy != 0 || x.awaitsLapse(now) {
 		return 0
 	}
 	until := now + min(x.maxLease, leaseAhead)
--- a/internal/executor/listings.go
+++ b/internal/executor/listings.go
@@ -57,6 +57,10 @@
 		cursor = 0
 	}
 	x.lastListRequest++
+	if x.inheritedLease == 0 {
+		x.inheritedLease = now + x.maxLease
+	}
+	x.markLapsed(now)
 	until := x.nextLease(now, nil)
 	if x.silentSince != 0 && now-x.silentSince >= maxSilence {
 		until = 0
@@ -207,7 +211,7 @@
 	x.runs[id.TaskID] = r
 	x.unsizedRuns++
 	x.loadVersion++
-	x.attempts[id.TaskID] = attempt{number: id.Attempt, at: now}
+	x.recordAttempt(id, now)
 	return r
 }
 
@@ -215,6 +219,9 @@
 func (x *Executor) discard(r *run) {
 	x.releaseCapacity(r)
 	delete(x.runs, r.id.TaskID)
+	if r.phase == ended && r.endSequence != 0 {
+		x.passOver(r.endSequence, r.id, r.end, r.lapsed || r.acknowledgeable)
+	}
 	if r.bestEffort && r.phase != ended {
 		x.addEventToAll(r, wire.TaskEvent_STATE_LOST)
 	}
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -66,6 +66,9 @@
 	// void is true for an end that doesn't count because the worker's lease expired
 	// before it was acknowledged.
 	void bool
+	// lapsed is true for an end after which the worker's lease has lapsed, voided for one
+	// that must not count because its entry had given up the run.
+	lapsed, voided bool
 	// discoveredAt is when a run without a known owner was discovered on the
 	// worker.
 	discoveredAt clock.Millis
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -86,7 +86,9 @@
 	x.runsListed = false
 	x.resetBacklog()
 	x.cursor = 0
+	clear(x.superseded)
 	x.leaseUntil = 0
+	x.inheritedLease = now + x.maxLease
 	x.openRenewals = nil
 	x.leaseExpiredBy = 0
 	if x.worker.Incarnation != 0 {
@@ -130,6 +132,7 @@
 			x.logResolved(now, r, StartUnresolved)
 			x.attributeRefusals(now, r)
 			x.endRun(now, r, batch.OutcomeLost)
+			x.recordLapse(r.id)
 			r.acknowledgeable = true
 			if !r.workerCrashed {
 				x.lostRuns = append(x.lostRuns, r)
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -221,7 +221,7 @@
 	case wire.TaskEvent_STATE_QUEUED, wire.TaskEvent_STATE_RUNNING:
 		s.handleActive(now, n, j, t, id, e.GetState() == wire.TaskEvent_STATE_RUNNING)
 	case wire.TaskEvent_STATE_DONE:
-		s.handleDone(now, n, j, t, id, clock.Millis(e.GetRunMs()))
+		s.handleDone(now, n, j, t, id, e)
 	case wire.TaskEvent_STATE_FAILED:
 		s.handleFailed(now, n, j, t, id)
 	case wire.TaskEvent_STATE_STOPPED, wire.TaskEvent_STATE_LOST, wire.TaskEvent_STATE_STALLED:
@@ -309,28 +309,24 @@
 }
 
 // handleDone handles the successful end of a run.
-func (s *Scheduler) handleDone(now clock.Millis, n *node, j *job, t *task, id batch.RunID, took clock.Millis) {
-	if t.state == taskDone {
-		if t.attempt == id.Attempt {
-			s.recordUnstoredEnd(now, n, j, id)
-			return
-		}
+func (s *Scheduler) handleDone(now clock.Millis, n *node, j *job, t *task, id batch.RunID, e *wire.TaskEvent) {
+	switch {
+	case t.state == taskDone && t.attempt == id.Attempt:
+		s.recordUnstoredEnd(now, n, j, id)
+		return
+	case !j.BestEffort && t.supersedes(n, id) && (t.state != taskPending || !e.GetLapsed()):
+		s.passOverEnd(n, j, id, e.GetLapsed())
+		return
+	case j.BestEffort && t.state == taskDone:
 		n.releaseRun(id)
 		return
-	}
-	if t.state == taskBound && !t.isBoundTo(n, id) && j.BestEffort {
+	case j.BestEffort && t.state == taskBound && !t.isBoundTo(n, id):
 		t.recordAttempt(id.Attempt)
 		n.releaseRun(id)
 		return
 	}
-	if t.attempt > id.Attempt || t.state == taskBound && !t.isBoundTo(n, id) {
-		// The run was abandoned and the task may run elsewhere, so this end must not be
-		// acknowledged; its worker's lease has to expire first.
-		s.pendingCommands = append(s.pendingCommands, Decision{Summary: "end of superseded attempt ignored", Job: j.ID, Run: id, Sidecar: n.address})
-		return
-	}
 	if t.state == taskBound {
-		n.observeRunTime(now, j.Steps[t.step].EstimatedRunTime, took)
+		n.observeRunTime(now, j.Steps[t.step].EstimatedRunTime, clock.Millis(e.GetRunMs()))
 		n.recordSuccess()
 		if owner := s.nodes[t.node]; owner != nil {
 			delete(owner.runs, id.TaskID)
