executor, scheduler: Report late ends to the entry that holds the job

Cause: an entry adopted a run that a sidecar found on its worker only while it handled an inventory. The end of a run that became visible later had no owner and was reported to nobody; only one entry was asked for the job.

Only one looks the job up in the store.

--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -389,9 +389,10 @@
 func (x *Executor) buildReport(now clock.Millis, id ownership.Incarnation, e *entry) *wire.TaskReport {
 	report := &wire.TaskReport{
 		SentAt: int64(now), Events: e.events, Load: x.workerLoad(), Deposed: e.deposed,
-		Received: e.received, Unclaimed: x.unclaimed(now, id), Offer: x.offer.entry == id,
+		Received: e.received, Offer: x.offer.entry == id,
 		Held: x.offer.entry != "" && x.offer.entry != id, GrantsJobLeases: true, HasMoreEnds: x.runsListed && x.backlog.full,
 	}
+	report.Unclaimed, report.UnclaimedElsewhere = x.unclaimed(now, id)
 	if report.Offer && x.offer.sentAt == 0 {
 		x.offer.sentAt = now
 	}
@@ -447,34 +448,6 @@
 	return events
 }
 
-// unclaimed lists the runs that no entry has claimed, for the one entry that looks
-// up their jobs in the store; it is empty for all others.
-func (x *Executor) unclaimed(now clock.Millis, id ownership.Incarnation) []*wire.TaskRun {
-	if x.resolver() != id {
-		return nil
-	}
-	var unclaimed []*wire.TaskRun
-	for _, r := range x.runs {
-		if r.owner == "" && !r.acknowledgeable && !r.isWithheld() && now-max(r.discoveredAt, r.resolveRequestedAt) >= unclaimedDelay {
-			r.resolveRequestedAt = now
-			unclaimed = append(unclaimed, r.id.Wire())
-		}
-	}
-	return unclaimed
-}
-
-// resolver returns the connected entry with the lowest name, which looks up the
-// jobs of unclaimed runs.
-func (x *Executor) resolver() ownership.Incarnation {
-	var lowest ownership.Incarnation
-	for id, e := range x.entries {
-		if e.connected && !e.deposed && (lowest == "" || id < lowest) {
-			lowest = id
-		}
-	}
-	return lowest
-}
-
 func (x *Executor) workerLoad() *wire.WorkerLoad {
 	free := x.available()
 	return &wire.WorkerLoad{
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -81,6 +81,6 @@
 	expiresBy clock.Millis
 	// highestAttempt is that of the task, if the order had no higher one.
 	highestAttempt batch.Attempt
-	// resolveRequestedAt is when an entry was last asked to look up the job.
-	resolveRequestedAt clock.Millis
+	// reportedTo is when each entry was last told that the run is unclaimed.
+	reportedTo map[ownership.Incarnation]clock.Millis
 }
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -249,6 +249,9 @@
 	for _, id := range r.GetUnclaimed() {
 		s.handleUnclaimed(now, n, batch.RunIDFromWire(id))
 	}
+	for _, id := range r.GetUnclaimedElsewhere() {
+		s.adoptRun(n, batch.RunIDFromWire(id))
+	}
 	s.recordFenced(now, n, r)
 	if len(n.pendingLookups) > 0 {
 		s.pendingCommands = append(s.pendingCommands, Lookup{Sidecar: from, Runs: n.pendingLookups})
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -216,10 +216,14 @@
 	}
 	if e.GetState() != wire.TaskEvent_STATE_QUEUED && e.GetState() != wire.TaskEvent_STATE_RUNNING {
 		t.removeOtherRun(n, id)
+		if e.GetUnclaimed() && !j.BestEffort {
+			// The worker's lease is renewed for the end only once it has an owner.
+			n.orders().Adopts = append(n.orders().Adopts, s.adoptOrder(j, t, id))
+		}
 	}
 	switch e.GetState() {
 	case wire.TaskEvent_STATE_QUEUED, wire.TaskEvent_STATE_RUNNING:
-		s.handleActive(now, n, j, t, id, e.GetState() == wire.TaskEvent_STATE_RUNNING)
+		s.handleActive(now, n, j, t, e)
 	case wire.TaskEvent_STATE_DONE:
 		s.handleDone(now, n, j, t, id, e)
 	case wire.TaskEvent_STATE_FAILED:
@@ -241,15 +245,27 @@
 // entry is adopted: it may have ended, and the sidecar then reports its state. Its end
 // must not be acknowledged before it is in the store.
 func (s *Scheduler) handleUnclaimed(now clock.Millis, n *node, id batch.RunID) {
-	if j := s.jobs[id.Job]; j != nil && !j.BestEffort && j.inFlight != newJobWrite {
-		if t := j.findTask(id.TaskID); t != nil {
-			n.orders().Adopts = append(n.orders().Adopts, s.adoptOrder(j, t, id))
-			return
-		}
+	if s.adoptRun(n, id) {
+		return
 	}
 	s.handleEvent(now, n, &wire.TaskEvent{Run: id.Wire(), State: wire.TaskEvent_STATE_RUNNING})
 }
 
+// adoptRun adopts a run of a stored job that this entry holds. The sidecar then reports its
+// state.
+func (s *Scheduler) adoptRun(n *node, id batch.RunID) bool {
+	j := s.jobs[id.Job]
+	if j == nil || j.BestEffort || j.inFlight == newJobWrite {
+		return false
+	}
+	t := j.findTask(id.TaskID)
+	if t == nil {
+		return false
+	}
+	n.orders().Adopts = append(n.orders().Adopts, s.adoptOrder(j, t, id))
+	return true
+}
+
 // handleUnknownJob handles an event of a run whose job this entry does not hold:
 // it releases the run or looks its job up in the store.
 func (s *Scheduler) handleUnknownJob(n *node, id batch.RunID, e *wire.TaskEvent) {
@@ -263,6 +279,10 @@
 		n.releaseRun(id)
 		return
 	}
+	if e.GetUnclaimed() && !n.handlingInventory && e.GetState() != wire.TaskEvent_STATE_RUNNING {
+		// The sidecar tells all entries of the end and asks one to look the job up.
+		return
+	}
 	n.pendingLookups = append(n.pendingLookups, id)
 }
 
@@ -275,9 +295,11 @@
 	}
 }
 
-// handleActive handles a run that is queued or running at a sidecar.
-func (s *Scheduler) handleActive(now clock.Millis, n *node, j *job, t *task, id batch.RunID, started bool) {
-	if started {
+// handleActive handles a run that is queued or running at a sidecar. One that the sidecar
+// found on its worker is adopted: its end is reported to its owner.
+func (s *Scheduler) handleActive(now clock.Millis, n *node, j *job, t *task, e *wire.TaskEvent) {
+	id := batch.RunIDFromWire(e.GetRun())
+	if e.GetState() == wire.TaskEvent_STATE_RUNNING {
 		j.started = true
 	}
 	switch {
@@ -300,7 +322,7 @@
 		t.sequence = 0
 		n.runs[id.TaskID] = boundTask{j, t}
 	}
-	if n.handlingInventory {
+	if n.handlingInventory || e.GetUnclaimed() {
 		n.orders().Adopts = append(n.orders().Adopts, s.startOrder(j, t, ""))
 	}
 	if j.cancelled {
--- a/internal/scheduler/unclaimed_test.go
+++ b/internal/scheduler/unclaimed_test.go
@@ -47,3 +47,54 @@
 		})
 	}
 }
+
+// Guards against jobs that stay open: a run that its sidecar found after the inventory was
+// bound without being adopted, so that its end had no entry to be reported to. It is
+// adopted in whatever report it comes; an end also while its entry does not look up the job.
+func TestRunFoundLateIsAdopted(t *testing.T) {
+	for name, report := range map[string]func(r *wire.TaskReport, e *wire.TaskEvent){
+		"running": func(r *wire.TaskReport, e *wire.TaskEvent) { e.State = wire.TaskEvent_STATE_RUNNING },
+		"done":    func(*wire.TaskReport, *wire.TaskEvent) {},
+		"unclaimed elsewhere": func(r *wire.TaskReport, e *wire.TaskEvent) {
+			r.Events, r.UnclaimedElsewhere = nil, []*wire.TaskRun{e.GetRun()}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestbed(t, 1)
+			b.submit(job("j", 1, false))
+			b.save(scheduler.SaveDone)
+			b.tick()
+			s := b.onlyStart()
+			// The run is given up, and its task waits for room.
+			b.send(s.at, &wire.TaskReport{Inventory: true, Load: &wire.WorkerLoad{}})
+			b.sent = make(map[scheduler.Address][]*wire.TaskOrders)
+			found := event(s.run, wire.TaskEvent_STATE_DONE)
+			found.Unclaimed = true
+			r := &wire.TaskReport{Events: []*wire.TaskEvent{found}, Load: &wire.WorkerLoad{}}
+			report(r, found)
+			b.send(s.at, r)
+			adopts := 0
+			for _, o := range b.sent[s.at] {
+				adopts += len(o.GetAdopts())
+			}
+			if adopts != 1 {
+				t.Errorf("adoptions: got %d, want 1", adopts)
+			}
+		})
+	}
+}
+
+// Guards against a look-up of each end at each entry: only one entry looks up the job of an
+// end that all are told of.
+func TestEndsOfOtherEntriesAreNotLookedUp(t *testing.T) {
+	b := newTestbed(t, 1)
+	found := event(batch.RunID{TaskID: batch.TaskID{Job: "other"}, Attempt: 1}, wire.TaskEvent_STATE_DONE)
+	found.Unclaimed, found.BestEffort = true, false
+	b.takeCommands()
+	b.send(address(0), &wire.TaskReport{Events: []*wire.TaskEvent{found}, UnclaimedElsewhere: []*wire.TaskRun{found.GetRun()}})
+	for _, c := range b.takeCommands() {
+		if l, ok := c.(scheduler.Lookup); ok {
+			t.Errorf("look-ups: got %v, want none", l)
+		}
+	}
+}
