executor, sidecarnode: Stop late starts at the first listing

Cause: a start that a fencing token has voided may still be executed by the next incarnation of the worker, which has seen no token, until its first listing. The protocol names no incarnation in a call.

Change: the sidecar remembers the starts that it resolved as not started for 15 s and stops such a run at the first listing. While one is possible, a worker that refuses connections is listed every 5 ms.

--- a/internal/executor/commands.go
+++ b/internal/executor/commands.go
@@ -64,6 +64,9 @@
 	StopOwnerDeposed StopReason = "owner-deposed"
 	// StopSuperseded means that a later attempt of the task is known here.
 	StopSuperseded StopReason = "superseded"
+	// StopLateStart means that the worker executed a start that had been resolved as not
+	// started.
+	StopLateStart StopReason = "late-start"
 )
 
 // RunEnded reports that a run has ended. It asks for no action.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -84,7 +84,7 @@
 	// are lost once the lease is over.
 	maxSilence = 3 * clock.Second
 	// lateStartTimeout is how long after an unanswered start a worker may still
-	// execute it. Workers execute late calls within seconds.
+	// execute it. Workers execute late calls within 12 s.
 	lateStartTimeout = 15 * clock.Second
 	// attemptRetention is how long the highest attempt of a task is kept after its
 	// last order; no order is in flight for as long.
@@ -193,6 +193,9 @@
 	// cursor is the sequence up to which ends are acknowledged.
 	cursor int64
 	runs   map[batch.TaskID]*run
+	// rejected holds the starts of the last lateStartTimeout that were resolved as not
+	// started.
+	rejected map[batch.RunID]*run
 	// superseded holds the ends of superseded runs by their sequence.
 	superseded map[int64]supersededEnd
 	// attempts holds the highest attempt of each task that was ordered here.
@@ -239,6 +242,7 @@
 		backlog:     backlog{listLimit: maxListedEnds},
 		runs:        make(map[batch.TaskID]*run),
 		crashedRuns: make(map[batch.RunID]*run),
+		rejected:    make(map[batch.RunID]*run),
 		superseded:  make(map[int64]supersededEnd),
 		attempts:    make(map[batch.TaskID]attempt),
 		entries:     make(map[ownership.Incarnation]*entry),
@@ -271,6 +275,7 @@
 // sweep forgets old attempts, crashes and job leases.
 func (x *Executor) sweep(now clock.Millis) {
 	x.sweepJobLeases(now)
+	x.sweepRejected(now)
 	for id, a := range x.attempts {
 		if now-a.at > attemptRetention && x.runs[id] == nil {
 			delete(x.attempts, id)
--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -403,6 +403,46 @@
 	}
 }
 
+// Guards against a longer overlap of two runs than the time until the first listing of the
+// worker's next incarnation: a start that was resolved as not started ran on for as long as
+// its entry needed to have it stopped. The entry learns that it ended, and the capacity of
+// the worker counts it until then.
+func TestLateStartIsStoppedAtTheFirstListing(t *testing.T) {
+	h := newHarness(t)
+	id := runID("j")
+	h.x.OrdersReceived(h.now, entryA, h.orders(start(id, 15_000, false)))
+	h.tick()
+	h.x.StartAnswered(h.now, id, firstToken, executor.StartUnknown)
+	h.advance(20)
+	h.list(h.x.ListRequest(h.now).Token, 1, nil, nil)
+	h.advance(2 * clock.Second)
+	h.x.OrdersReceived(h.now, entryA, h.orders())
+	h.take()
+	h.sequence = 0
+	h.report(2, 20_000)
+	h.list(h.x.ListRequest(h.now).Token, 2, []executor.ListedRun{{Run: id}}, nil)
+	h.x.OrdersReceived(h.now, entryA, h.orders(start(runID("k"), 15_000, false)))
+	h.tick()
+	var stops []executor.StopRun
+	for _, c := range h.take() {
+		switch c := c.(type) {
+		case executor.StopRun:
+			stops = append(stops, c)
+		case executor.StartRun:
+			t.Errorf("start beside the late run: got %v, want none", c.Run)
+		}
+	}
+	if len(stops) != 1 || stops[0].Run != id || stops[0].Reason != executor.StopLateStart {
+		t.Fatalf("stops at the first listing: got %v, want one of the late start", stops)
+	}
+	h.now += 10
+	h.list(h.x.ListRequest(h.now).Token, 2, nil, []executor.ListedEnd{{Sequence: 1, Run: id, End: batch.OutcomeStopped}})
+	h.tick()
+	if got, want := h.states(entryA)[id], wire.TaskEvent_STATE_STOPPED; got != want {
+		t.Errorf("state: got %v, want %v", got, want)
+	}
+}
+
 // Guards against a caller that is told that its job has not run: a listing that is
 // full may omit the end of a run whose start got no answer.
 func TestFullListingResolvesNoUnansweredStart(t *testing.T) {
--- a/internal/executor/listings.go
+++ b/internal/executor/listings.go
@@ -149,6 +149,7 @@
 			r.acknowledgeable = true
 		case r.phase == unanswered && l.Token > r.token:
 			x.logResolved(now, r, StartRejected)
+			x.recordRejected(r)
 			x.release(r)
 			x.returnTask(r)
 		case r.phase == running && r.acceptedAt < l.RequestedAt:
@@ -180,7 +181,9 @@
 		if r != nil {
 			x.discard(r)
 		}
-		x.addEventToAll(x.addDiscovered(now, lr.Run), wire.TaskEvent_STATE_RUNNING)
+		if !x.stopLateStart(now, lr.Run) {
+			x.addEventToAll(x.addDiscovered(now, lr.Run), wire.TaskEvent_STATE_RUNNING)
+		}
 		return
 	}
 	if r.id.Attempt > lr.Run.Attempt {
--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -111,6 +111,14 @@
 	listPause = 6 * time.Millisecond
 	// retryPause is the wait before a failed call is retried.
 	retryPause = 100 * time.Millisecond
+	// returnPause replaces it for a listing that the worker refuses while a start without
+	// an answer may be executed late. A worker that starts again executes such a start
+	// until its first listing, so that listing must not be late. A refused connection to
+	// the same machine costs some 0.1 ms.
+	returnPause = 5 * time.Millisecond
+	// lateStartPeriod is how long after its call a worker may execute a start without an
+	// answer.
+	lateStartPeriod = 12 * clock.Second
 )
 
 // Process is a running sidecar.
@@ -127,6 +135,9 @@
 	// timed out, in Unix ms.
 	lastAnswerAt  atomic.Int64
 	lastTimeoutAt atomic.Int64
+	// lateStartsUntil is until when the worker may execute a start without an answer, in
+	// Unix ms.
+	lateStartsUntil atomic.Int64
 	// workerUpdates holds the newest worker record that has yet to be stored.
 	workerUpdates chan executor.Worker
 }
@@ -158,6 +169,8 @@
 func (p *Process) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	// The calls of an earlier sidecar are not known.
+	p.lateStartsUntil.Store(int64(p.deps.Clock.Now() + lateStartPeriod))
 	go p.listRepeatedly(work, func() bool { return true })
 	go p.listRepeatedly(work, p.lossy)
 	node, err := peer.New(p.settings.Peer, p.deps.Clock, local{p}, handler{p}, p.deps.Frames)
@@ -230,6 +243,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	result := p.deps.Worker.Start(ctx, c)
+	if result == executor.StartUnknown {
+		p.lateStartsUntil.Store(int64(p.deps.Clock.Now() + lateStartPeriod))
+	}
 	if result != executor.StartAccepted {
 		late := max(p.deps.Clock.Now()-c.NotAfter, 0)
 		if log := p.deps.Jobs.Trouble(); log != nil {
@@ -292,12 +308,19 @@
 			reachable = err == nil
 			p.deps.Log.Info("worker reachability changed", zap.Bool("reachable", reachable), zap.Error(err))
 		}
-		pause := listPause
-		if err != nil && !errors.Is(err, context.DeadlineExceeded) {
-			pause = retryPause
-		}
-		time.Sleep(pause)
+		time.Sleep(p.pauseAfter(err))
+	}
+}
+
+// pauseAfter returns the time between a listing with this result and the next one.
+func (p *Process) pauseAfter(err error) time.Duration {
+	switch {
+	case err == nil, errors.Is(err, context.DeadlineExceeded):
+		return listPause
+	case errors.Is(err, ErrNotSent) && p.deps.Clock.Now() < clock.Millis(p.lateStartsUntil.Load()):
+		return returnPause
 	}
+	return retryPause
 }
 
 // lossy reports whether a listing has timed out within the last lossyPeriod.
