--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -122,6 +122,9 @@
 		}
 		x.confirmCrash(from, batch.RunIDFromWire(id))
 	}
+	for _, id := range o.GetVoids() {
+		x.voidEnd(now, from, batch.RunIDFromWire(id))
+	}
 	for _, id := range o.GetReleases() {
 		x.confirmCrash(from, batch.RunIDFromWire(id))
 		x.handleRelease(now, from, batch.RunIDFromWire(id))
@@ -187,7 +190,9 @@
 // watch reports the end of a run also to an entry that does not own it.
 func (x *Executor) watch(from ownership.Incarnation, r *run) {
 	if r.phase == ended {
-		x.addEventFor(from, r, endState(r))
+		if !r.isWithheld() {
+			x.addEventFor(from, r, endState(r))
+		}
 		return
 	}
 	if r.owner != from && !slices.Contains(r.watchers, from) {
@@ -214,7 +219,7 @@
 		x.addEvent(r, wire.TaskEvent_STATE_NOT_STARTED)
 		return
 	}
-	x.attempts[id.TaskID] = attempt{number: id.Attempt, at: now}
+	x.recordAttempt(id, now)
 	if !x.ready() || now-reportAt > maxOrderAge || !x.worker.Capacity.Covers(r.resources) {
 		x.logRefused(r, x.refusalReason(r, now-reportAt), now-reportAt)
 		x.addEvent(r, wire.TaskEvent_STATE_NOT_STARTED)
@@ -241,7 +246,7 @@
 		// The start may still be in flight to this sidecar; recording the attempt
 		// rejects it on arrival.
 		if known := x.attempts[id.TaskID]; known.number < id.Attempt {
-			x.attempts[id.TaskID] = attempt{number: id.Attempt, at: known.at}
+			x.recordAttempt(id, known.at)
 		}
 		if !x.hasListed {
 			return
@@ -294,8 +299,15 @@
 // addEvent queues an event for the entry that owns a run, if it is connected.
 func (x *Executor) addEvent(r *run, state wire.TaskEvent_State) { x.addEventFor(r.owner, r, state) }
 
-// addEventToAll queues an event for the owner of a run and the entries that watch it.
+// addEventToAll queues an event for the owner of a run and the entries that watch it. An
+// event of a run without a known owner goes to all entries, one of which may hold the job.
 func (x *Executor) addEventToAll(r *run, state wire.TaskEvent_State) {
+	if r.owner == "" {
+		for id := range x.entries {
+			x.addEventFor(id, r, state)
+		}
+		return
+	}
 	x.addEvent(r, state)
 	for _, w := range r.watchers {
 		if w != r.owner {
@@ -320,7 +332,8 @@
 func (r *run) event(state wire.TaskEvent_State) *wire.TaskEvent {
 	return &wire.TaskEvent{
 		Run: r.id.Wire(), State: state, RunMs: int64(r.runTime), BestEffort: r.bestEffort,
-		WorkerCrashed: r.workerCrashed && state == wire.TaskEvent_STATE_LOST,
+		WorkerCrashed: r.workerCrashed && state == wire.TaskEvent_STATE_LOST, Unclaimed: r.owner == "",
+		Lapsed: r.phase == ended && r.lapsed,
 	}
 }
 
@@ -379,9 +392,10 @@
 func (x *Executor) buildReport(now clock.Millis, id ownership.Incarnation, e *entry) *wire.TaskReport {
 	report := &wire.TaskReport{
 		SentAt: int64(now), Events: e.events, Load: x.workerLoad(), Deposed: e.deposed,
-		Received: e.received, Unclaimed: x.unclaimed(now, id), Offer: x.offer.entry == id,
-		Held: x.offer.entry != "" && x.offer.entry != id, GrantsJobLeases: true,
+		Received: e.received, Offer: x.offer.entry == id,
+		Held: x.offer.entry != "" && x.offer.entry != id, GrantsJobLeases: true, HasMoreEnds: x.runsListed && x.backlog.full,
 	}
+	report.Unclaimed, report.UnclaimedElsewhere = x.unclaimed(now, id)
 	if report.Offer && x.offer.sentAt == 0 {
 		x.offer.sentAt = now
 	}
@@ -391,9 +405,7 @@
 		e.appliedFences = nil
 	}
 	if e.inventoryDue && x.runsListed {
-		report.Inventory = true
-		report.Events = x.inventory(id)
-		e.inventoryDue = false
+		x.addInventory(report, id, e)
 	}
 	e.events, e.urgent = nil, false
 	e.sentAt = now
@@ -402,11 +414,25 @@
 	return report
 }
 
+// addInventory adds the inventory of an entry to a report. A partial one comes after the
+// events that it does not replace.
+func (x *Executor) addInventory(report *wire.TaskReport, id ownership.Incarnation, e *entry) {
+	e.inventoryDue = false
+	e.partialInventory = !x.backlog.read
+	if e.partialInventory {
+		report.PartialInventory = true
+		report.Events = append(report.Events, x.inventory(id)...)
+		return
+	}
+	report.Inventory = true
+	report.Events = x.inventory(id)
+}
+
 // inventory lists the runs of an entry and those without a known owner.
 func (x *Executor) inventory(id ownership.Incarnation) []*wire.TaskEvent {
 	var events []*wire.TaskEvent
 	for _, r := range x.runs {
-		if r.void || r.owner != id && r.owner != "" && !slices.Contains(r.watchers, id) {
+		if r.void || r.isWithheld() || r.owner != id && r.owner != "" && !slices.Contains(r.watchers, id) {
 			continue
 		}
 		state := wire.TaskEvent_STATE_RUNNING
@@ -426,34 +452,6 @@
 	return events
 }
 
-// unclaimed lists the runs that no entry has claimed, for the one entry that looks
-// up their jobs in the store; it is empty for all others.
-func (x *Executor) unclaimed(now clock.Millis, id ownership.Incarnation) []*wire.TaskRun {
-	if x.resolver() != id {
-		return nil
-	}
-	var unclaimed []*wire.TaskRun
-	for _, r := range x.runs {
-		if r.owner == "" && !r.acknowledgeable && now-max(r.discoveredAt, r.resolveRequestedAt) >= unclaimedDelay {
-			r.resolveRequestedAt = now
-			unclaimed = append(unclaimed, r.id.Wire())
-		}
-	}
-	return unclaimed
-}
-
-// resolver returns the connected entry with the lowest name, which looks up the
-// jobs of unclaimed runs.
-func (x *Executor) resolver() ownership.Incarnation {
-	var lowest ownership.Incarnation
-	for id, e := range x.entries {
-		if e.connected && !e.deposed && (lowest == "" || id < lowest) {
-			lowest = id
-		}
-	}
-	return lowest
-}
-
 func (x *Executor) workerLoad() *wire.WorkerLoad {
 	free := x.available()
 	return &wire.WorkerLoad{
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -8,9 +8,6 @@
 package executor
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/teaseltide/teaseltide/internal/batch"
 	"github.com/teaseltide/teaseltide/internal/evacuation"
 	"github.com/teaseltide/teaseltide/internal/ownership"
@@ -88,7 +85,7 @@
 	// are lost once the lease is over.
 	maxSilence = 3 * clock.Second
 	// lateStartTimeout is how long after an unanswered start a worker may still
-	// execute it. Workers execute late calls within seconds.
+	// execute it. Workers execute late calls within 12 s.
 	lateStartTimeout = 15 * clock.Second
 	// attemptRetention is how long the highest attempt of a task is kept after its
 	// last order; no order is in flight for as long.
@@ -98,82 +95,6 @@
 	crashRetention = 60 * clock.Second
 )
 
-// phase is the state of a run as this sidecar knows it.
-type phase int
-
-const (
-	// queued means that the next tick starts the task or returns it to its entry.
-	queued phase = iota
-	// starting means that the call to the worker that starts the run is in flight.
-	starting
-	// unanswered means that the start got no answer and may still take effect; a
-	// listing under a higher token resolves it.
-	unanswered
-	running
-	// ended means that the worker has listed the end or that the run is lost.
-	ended
-)
-
-// run is one attempt of a task.
-type run struct {
-	id        batch.RunID
-	owner     ownership.Incarnation
-	resources batch.Resources
-	// sizeKnown is false for a run that was discovered on the worker until an entry
-	// gives its resources.
-	sizeKnown     bool
-	spec          string
-	priority      int
-	maxPerWorker  int
-	estimatedTime clock.Millis
-	phase         phase
-	stopping      bool
-	stopReason    StopReason
-	// stopSentAt is when the worker was last asked to stop the run.
-	stopSentAt clock.Millis
-	// stopOrderedAt is when an entry ordered the stop, 0 for a run that is not
-	// stopped or that this sidecar stopped.
-	stopOrderedAt clock.Millis
-	// token is the fencing token of the start, workerIncarnation the worker's that it
-	// was sent to.
-	token             int64
-	workerIncarnation int64
-	orderedAt         clock.Millis
-	startedAt         clock.Millis
-	// acceptedAt is when this sidecar learned that the worker accepted the start.
-	acceptedAt clock.Millis
-	end        batch.Outcome
-	// workerCrashed is true if the worker crashed while the run may have been active.
-	workerCrashed bool
-	crashedAt     clock.Millis
-	// stalled is true if this sidecar stopped the run for lack of progress.
-	stalled bool
-	// endSequence is the worker's number of the end.
-	endSequence    int64
-	runTime        clock.Millis
-	percent        int
-	lastProgressAt clock.Millis
-	// acknowledgeable is true if the end may be acknowledged to the worker.
-	acknowledgeable bool
-	// void is true for an end that doesn't count because the worker's lease expired
-	// before it was acknowledged.
-	void bool
-	// discoveredAt is when a run without a known owner was discovered on the
-	// worker.
-	discoveredAt clock.Millis
-	bestEffort   bool
-	// watchers are entries that hold the job of another entry's run and wait for its
-	// end.
-	watchers []ownership.Incarnation
-	// expiresBy bounds the grant of a best-effort run of a deposed entry, 0 for no
-	// bound.
-	expiresBy clock.Millis
-	// highestAttempt is that of the task, if the order had no higher one.
-	highestAttempt batch.Attempt
-	// resolveRequestedAt is when an entry was last asked to look up the job.
-	resolveRequestedAt clock.Millis
-}
-
 // Worker is the worker's description of itself. Its JSON form is the record in the
 // store that a sidecar writes for its next incarnation.
 type Worker struct {
@@ -200,7 +121,9 @@
 	storedGrantedFrom clock.Millis
 	// inventoryDue is true if the next report must list all runs of the entry.
 	inventoryDue bool
-	events       []*wire.TaskEvent
+	// partialInventory is true if the last inventory was partial.
+	partialInventory bool
+	events           []*wire.TaskEvent
 	// urgent is true if an event must be reported without delay.
 	urgent bool
 	// appliedFences lists the entries that were deposed by orders of this entry
@@ -241,9 +164,11 @@
 	// runsListed is true after the worker has listed its runs under this sidecar's
 	// token; nothing is started before then.
 	runsListed bool
-	// hasListed is true once runsListed was true. Before, the worker may have runs of an
-	// earlier sidecar that are not known here.
+	// hasListed is true once the worker has listed its runs and all ends under this
+	// sidecar's token. Before, it may have runs of an earlier sidecar that are not known
+	// here.
 	hasListed bool
+	backlog   backlog
 	// replaced is true from the replacement of the worker until the first listing of
 	// the new incarnation under a higher token.
 	replaced bool
@@ -271,6 +196,11 @@
 	// cursor is the sequence up to which ends are acknowledged.
 	cursor int64
 	runs   map[batch.TaskID]*run
+	// rejected holds the starts of the last lateStartTimeout that were resolved as not
+	// started.
+	rejected map[batch.RunID]*run
+	// superseded holds the ends of superseded runs by their sequence.
+	superseded map[int64]supersededEnd
 	// attempts holds the highest attempt of each task that was ordered here.
 	attempts map[batch.TaskID]attempt
 	entries  map[ownership.Incarnation]*entry
@@ -294,6 +224,9 @@
 	// leaseUntil is the latest end of the lease that was requested by a call that may
 	// have been executed, apart from openRenewals.
 	leaseUntil clock.Millis
+	// inheritedLease is when a lease that an earlier sidecar or the start of the worker set
+	// has ended, 0 before the first call.
+	inheritedLease clock.Millis
 	// openRenewals are the renewals of recent listings.
 	openRenewals []renewal
 	// lastListRequest is the number of the last ListRequest.
@@ -303,12 +236,6 @@
 	nextSweepAt     clock.Millis
 }
 
-// attempt is the highest attempt of a task that was ordered here.
-type attempt struct {
-	number batch.Attempt
-	at     clock.Millis
-}
-
 // New returns an Executor. token should be higher than those of earlier sidecars
 // of the worker; if the worker refuses it, TokenRefused raises it. maxLease is the
 // longest lease that the worker grants.
@@ -316,8 +243,11 @@
 	return &Executor{
 		token:       token,
 		maxLease:    maxLease,
+		backlog:     backlog{listLimit: maxListedEnds},
 		runs:        make(map[batch.TaskID]*run),
 		crashedRuns: make(map[batch.RunID]*run),
+		rejected:    make(map[batch.RunID]*run),
+		superseded:  make(map[int64]supersededEnd),
 		attempts:    make(map[batch.TaskID]attempt),
 		entries:     make(map[ownership.Incarnation]*entry),
 		jobLeases:   make(map[batch.JobID]jobLease),
@@ -328,6 +258,7 @@
 // Tick makes the decisions that are due at now and returns the commands since the
 // last tick.
 func (x *Executor) Tick(now clock.Millis) []Command {
+	x.markLapsed(now)
 	x.checkGrants(now)
 	x.checkProgress(now)
 	x.repeatStops(now)
@@ -348,6 +279,7 @@
 // sweep forgets old attempts, crashes and job leases.
 func (x *Executor) sweep(now clock.Millis) {
 	x.sweepJobLeases(now)
+	x.sweepRejected(now)
 	for id, a := range x.attempts {
 		if now-a.at > attemptRetention && x.runs[id] == nil {
 			delete(x.attempts, id)
@@ -381,280 +313,3 @@
 	}
 	return n
 }
-
-// ready reports whether tasks may be started.
-func (x *Executor) ready() bool {
-	return x.evacuations.permitStarts() && x.runsListed && x.fencesLoaded && x.unsizedRuns == 0 && x.leaseExpiredBy == 0 && !x.worker.Draining && !x.draining && x.worker.ID != ""
-}
-
-// available returns the worker's free capacity.
-func (x *Executor) available() batch.Resources {
-	return x.worker.Capacity.Sub(x.used)
-}
-
-// reserve adds the resources of a run to those in use.
-func (x *Executor) reserve(r *run) {
-	x.used = x.used.Add(r.resources)
-	x.loadVersion++
-}
-
-// release subtracts the resources of a run from those in use.
-func (x *Executor) release(r *run) {
-	x.used = x.used.Sub(r.resources)
-	x.loadVersion++
-}
-
-// startQueued starts the queued tasks that fit, the most urgent first.
-func (x *Executor) startQueued(now clock.Millis) {
-	if !x.ready() {
-		return
-	}
-	tasks := x.queuedInOrder()
-	for _, r := range tasks {
-		if !x.available().Covers(r.resources) {
-			continue
-		}
-		if r.maxPerWorker > 0 && x.activeOfStep(r.id) >= r.maxPerWorker {
-			continue
-		}
-		if r.bestEffort && x.latestLease() > x.entry(r.owner).grantedFrom+maxLeaseAfterReport {
-			continue
-		}
-		lease := x.nextLease(now, r)
-		if lease == 0 {
-			continue
-		}
-		x.leaseUntil = max(x.leaseUntil, lease)
-		r.phase = starting
-		r.orderedAt = now
-		r.startedAt = now
-		r.lastProgressAt = now
-		r.token = x.token
-		r.workerIncarnation = x.worker.Incarnation
-		x.reserve(r)
-		granted := x.entry(r.owner).grantedFrom
-		x.commands = append(x.commands, StartRun{
-			Worker: x.worker.ID, Run: r.id, Spec: r.spec, Token: x.token, LeaseUntil: lease, NotAfter: min(now+maxStartDelay, lease),
-			Entry: r.owner, ReportSentAt: granted, OrderAge: now - granted, LatestLease: x.latestLease(),
-		})
-	}
-}
-
-// queuedInOrder returns the queued tasks in the order in which to start them.
-func (x *Executor) queuedInOrder() []*run {
-	var tasks []*run
-	for _, r := range x.runs {
-		if r.phase == queued {
-			tasks = append(tasks, r)
-		}
-	}
-	slices.SortFunc(tasks, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.orderedAt, b.orderedAt),
-			cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Index, b.id.Index))
-	})
-	return tasks
-}
-
-// activeOfStep counts the runs of a step that may be active on the worker.
-func (x *Executor) activeOfStep(id batch.RunID) int {
-	n := 0
-	for _, r := range x.runs {
-		if r.id.Job == id.Job && r.id.Step == id.Step && r.id.Occurrence == id.Occurrence &&
-			(r.phase == starting || r.phase == unanswered || r.phase == running) {
-			n++
-		}
-	}
-	return n
-}
-
-// returnQueued returns the tasks that did not start to their entries, which may
-// place them on another worker. A task that stayed queued here would be delayed
-// while another worker has free capacity.
-func (x *Executor) returnQueued(now clock.Millis) {
-	for _, r := range x.runs {
-		if r.phase == queued {
-			orderAge := now - x.entry(r.owner).grantedFrom
-			x.logRefused(r, x.refusalReason(r, orderAge), orderAge)
-			x.returnTask(r)
-		}
-	}
-}
-
-// returnTask removes a run that has not begun and reports that to its entry.
-func (x *Executor) returnTask(r *run) {
-	delete(x.runs, r.id.TaskID)
-	x.loadVersion++
-	x.addEventToAll(r, wire.TaskEvent_STATE_NOT_STARTED)
-}
-
-// checkProgress stops stalled runs.
-func (x *Executor) checkProgress(now clock.Millis) {
-	for _, r := range x.runs {
-		if r.phase == running && !r.stopping && now-r.lastProgressAt >= max(minStallTime, clock.Millis(stallFraction*float64(r.estimatedTime))) {
-			r.stalled = true
-			x.stop(now, r, StopNoProgress)
-		}
-	}
-}
-
-// stop asks the worker to stop a run, unless it was asked before.
-func (x *Executor) stop(now clock.Millis, r *run, reason StopReason) {
-	if !r.stopping {
-		r.stopReason = reason
-		x.sendStop(now, r)
-	}
-}
-
-func (x *Executor) sendStop(now clock.Millis, r *run) {
-	r.stopping = true
-	r.stopSentAt = now
-	x.commands = append(x.commands, StopRun{Run: r.id, Token: x.token, Entry: r.owner, Reason: r.stopReason})
-}
-
-// stopByOrder stops a run that its entry gave up.
-func (x *Executor) stopByOrder(now clock.Millis, r *run, reason StopReason) {
-	if r.stopOrderedAt == 0 {
-		r.stopOrderedAt = now
-	}
-	x.stop(now, r, reason)
-}
-
-// repeatStops repeats the stops that had no effect so far.
-func (x *Executor) repeatStops(now clock.Millis) {
-	for _, r := range x.runs {
-		if r.stopping && r.phase != ended && now-r.stopSentAt >= stopRetryInterval {
-			x.sendStop(now, r)
-		}
-	}
-}
-
-// StopFenced handles the worker's refusal of a stop because of its token. The stop
-// is repeated with the next tick.
-func (x *Executor) StopFenced(id batch.RunID, token int64) {
-	x.TokenRefused(token)
-	if r := x.findRun(id); r != nil {
-		r.stopSentAt = 0
-	}
-}
-
-// checkGrants abandons the runs whose grant has expired, as their entries may have
-// placed the tasks elsewhere. A best-effort or unclaimed run is stopped. For a run
-// of a stored job the worker's lease is no longer renewed, because a later end
-// must not count.
-func (x *Executor) checkGrants(now clock.Millis) {
-	if x.leaseExpiredBy != 0 {
-		return
-	}
-	for _, r := range x.runs {
-		if r.phase == queued || r.acknowledgeable {
-			continue
-		}
-		expiry := x.grantExpiry(r)
-		if now < expiry {
-			continue
-		}
-		if r.bestEffort || r.owner == "" {
-			x.abandon(now, r)
-			continue
-		}
-		x.leaseExpiredBy = max(now, x.latestLease()) + expiryMargin
-		x.leaseLapsed = true
-		x.commands = append(x.commands, LeaseExpiring{Entry: r.owner, Run: r.id, GrantEndedAt: expiry})
-		return
-	}
-}
-
-// grantExpiry returns the time until which a run may continue without another
-// grant.
-func (x *Executor) grantExpiry(r *run) clock.Millis {
-	e := x.entries[r.owner]
-	switch {
-	case r.owner == "" || e == nil:
-		return r.discoveredAt + ClaimTimeout
-	case r.bestEffort:
-		if r.expiresBy != 0 {
-			return r.expiresBy
-		}
-		return e.grantedFrom + BestEffortGrantDuration
-	}
-	return e.storedGrantedFrom + GrantDuration
-}
-
-// abandon stops a best-effort run whose grant has expired or an unclaimed run. The
-// end of an unclaimed run may belong to a stored job, so it is not acknowledged
-// until an entry has looked up the job.
-func (x *Executor) abandon(now clock.Millis, r *run) {
-	if r.phase != ended {
-		reason := StopGrantOver
-		if r.owner == "" {
-			reason = StopUnclaimed
-		}
-		x.stop(now, r, reason)
-		return
-	}
-	r.acknowledgeable = r.bestEffort
-}
-
-// expiryMargin covers a worker whose clock is 2% slow over the longest lease, and
-// a renewal that is in flight.
-const expiryMargin = 150 * clock.Millis(1)
-
-// nextLease returns the new end of the worker's lease, 0 for no renewal. started is a
-// run that is about to start, or nil. The lease doesn't outlast the grant of any run,
-// apart from bestEffortStopMargin for best-effort runs. A worker without active runs
-// and unstored ends needs no lease: the next start sets it.
-func (x *Executor) nextLease(now clock.Millis, started *run) clock.Millis {
-	if x.leaseExpiredBy != 0 {
-		return 0
-	}
-	until := now + min(x.maxLease, leaseAhead)
-	needed := false
-	for _, r := range x.runs {
-		if r != started && r.phase == queued || r.phase == ended && (r.acknowledgeable || r.bestEffort || r.owner == "") {
-			continue
-		}
-		if r.owner == "" && !r.acknowledgeable {
-			return 0
-		}
-		// The end of a stored run must be acknowledged before the lease expires.
-		needed = true
-		until = min(until, x.leaseLimit(r))
-	}
-	if !needed || until <= now {
-		return 0
-	}
-	return until
-}
-
-// leaseLimit returns the time past which the worker's lease is not renewed because
-// of a run. Later grants don't cover a best-effort run that its entry gave up.
-func (x *Executor) leaseLimit(r *run) clock.Millis {
-	switch {
-	case r.bestEffort && r.stopOrderedAt != 0:
-		return min(x.grantExpiry(r), r.stopOrderedAt+stoppedGrantDuration) + bestEffortStopMargin
-	case r.acknowledgeable:
-		return r.stopOrderedAt + stoppedGrantDuration + bestEffortStopMargin
-	case r.bestEffort:
-		return x.grantExpiry(r) + bestEffortStopMargin
-	}
-	return x.grantExpiry(r)
-}
-
-// advanceCursor advances the cursor over the ends that may be acknowledged, up to
-// the first that may not, and removes their runs.
-func (x *Executor) advanceCursor() {
-	var ends []*run
-	for _, r := range x.runs {
-		if r.phase == ended {
-			ends = append(ends, r)
-		}
-	}
-	slices.SortFunc(ends, func(a, b *run) int { return cmp.Compare(a.endSequence, b.endSequence) })
-	for _, r := range ends {
-		if !r.acknowledgeable {
-			return
-		}
-		x.cursor = max(x.cursor, r.endSequence)
-		delete(x.runs, r.id.TaskID)
-	}
-}
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -222,12 +222,16 @@
 	}
 	if e.GetState() != wire.TaskEvent_STATE_QUEUED && e.GetState() != wire.TaskEvent_STATE_RUNNING {
 		t.removeOtherRun(n, id)
+		if e.GetUnclaimed() && !j.BestEffort {
+			// The worker's lease is renewed for the end only once it has an owner.
+			n.orders().Adopts = append(n.orders().Adopts, s.adoptOrder(j, t, id))
+		}
 	}
 	switch e.GetState() {
 	case wire.TaskEvent_STATE_QUEUED, wire.TaskEvent_STATE_RUNNING:
-		s.handleActive(now, n, j, t, id, e.GetState() == wire.TaskEvent_STATE_RUNNING)
+		s.handleActive(now, n, j, t, e)
 	case wire.TaskEvent_STATE_DONE:
-		s.handleDone(now, n, j, t, id, clock.Millis(e.GetRunMs()))
+		s.handleDone(now, n, j, t, id, e)
 	case wire.TaskEvent_STATE_FAILED:
 		s.handleFailed(now, n, j, t, id)
 	case wire.TaskEvent_STATE_STOPPED, wire.TaskEvent_STATE_LOST, wire.TaskEvent_STATE_STALLED:
@@ -251,15 +255,27 @@
 // entry is adopted: it may have ended, and the sidecar then reports its state. Its end
 // must not be acknowledged before it is in the store.
 func (s *Scheduler) handleUnclaimed(now clock.Millis, n *node, id batch.RunID) {
-	if j := s.jobs[id.Job]; j != nil && !j.BestEffort && j.inFlight != newJobWrite {
-		if t := j.findTask(id.TaskID); t != nil {
-			n.orders().Adopts = append(n.orders().Adopts, s.adoptOrder(j, t, id))
-			return
-		}
+	if s.adoptRun(n, id) {
+		return
 	}
 	s.handleEvent(now, n, &wire.TaskEvent{Run: id.Wire(), State: wire.TaskEvent_STATE_RUNNING})
 }
 
+// adoptRun adopts a run of a stored job that this entry holds. The sidecar then reports its
+// state.
+func (s *Scheduler) adoptRun(n *node, id batch.RunID) bool {
+	j := s.jobs[id.Job]
+	if j == nil || j.BestEffort || j.inFlight == newJobWrite {
+		return false
+	}
+	t := j.findTask(id.TaskID)
+	if t == nil {
+		return false
+	}
+	n.orders().Adopts = append(n.orders().Adopts, s.adoptOrder(j, t, id))
+	return true
+}
+
 // handleUnknownJob handles an event of a run whose job this entry does not hold:
 // it releases the run or looks its job up in the store.
 func (s *Scheduler) handleUnknownJob(n *node, id batch.RunID, e *wire.TaskEvent) {
@@ -273,6 +289,10 @@
 		n.releaseRun(id)
 		return
 	}
+	if e.GetUnclaimed() && !n.handlingInventory && e.GetState() != wire.TaskEvent_STATE_RUNNING {
+		// The sidecar tells all entries of the end and asks one to look the job up.
+		return
+	}
 	n.pendingLookups = append(n.pendingLookups, id)
 }
 
@@ -285,9 +305,11 @@
 	}
 }
 
-// handleActive handles a run that is queued or running at a sidecar.
-func (s *Scheduler) handleActive(now clock.Millis, n *node, j *job, t *task, id batch.RunID, started bool) {
-	if started {
+// handleActive handles a run that is queued or running at a sidecar. One that the sidecar
+// found on its worker is adopted: its end is reported to its owner.
+func (s *Scheduler) handleActive(now clock.Millis, n *node, j *job, t *task, e *wire.TaskEvent) {
+	id := batch.RunIDFromWire(e.GetRun())
+	if e.GetState() == wire.TaskEvent_STATE_RUNNING {
 		j.started = true
 	}
 	switch {
@@ -310,7 +332,7 @@
 		t.sequence = 0
 		n.runs[id.TaskID] = boundTask{j, t}
 	}
-	if n.handlingInventory {
+	if n.handlingInventory || e.GetUnclaimed() {
 		n.orders().Adopts = append(n.orders().Adopts, s.startOrder(j, t, ""))
 	}
 	if j.cancelled {
@@ -319,28 +341,24 @@
 }
 
 // handleDone handles the successful end of a run.
-func (s *Scheduler) handleDone(now clock.Millis, n *node, j *job, t *task, id batch.RunID, took clock.Millis) {
-	if t.state == taskDone {
-		if t.attempt == id.Attempt {
-			s.recordUnstoredEnd(now, n, j, id)
-			return
-		}
+func (s *Scheduler) handleDone(now clock.Millis, n *node, j *job, t *task, id batch.RunID, e *wire.TaskEvent) {
+	switch {
+	case t.state == taskDone && t.attempt == id.Attempt:
+		s.recordUnstoredEnd(now, n, j, id)
+		return
+	case !j.BestEffort && t.supersedes(n, id) && (t.state != taskPending || !e.GetLapsed()):
+		s.passOverEnd(n, j, id, e.GetLapsed())
+		return
+	case j.BestEffort && t.state == taskDone:
 		n.releaseRun(id)
 		return
-	}
-	if t.state == taskBound && !t.isBoundTo(n, id) && j.BestEffort {
+	case j.BestEffort && t.state == taskBound && !t.isBoundTo(n, id):
 		t.recordAttempt(id.Attempt)
 		n.releaseRun(id)
 		return
 	}
-	if t.attempt > id.Attempt || t.state == taskBound && !t.isBoundTo(n, id) {
-		// The run was abandoned and the task may run elsewhere, so this end must not be
-		// acknowledged; its worker's lease has to expire first.
-		s.pendingCommands = append(s.pendingCommands, Decision{Summary: "end of superseded attempt ignored", Job: j.ID, Run: id, Sidecar: n.address})
-		return
-	}
 	if t.state == taskBound {
-		n.observeRunTime(now, j.Steps[t.step].EstimatedRunTime, took)
+		n.observeRunTime(now, j.Steps[t.step].EstimatedRunTime, clock.Millis(e.GetRunMs()))
 		n.recordSuccess()
 		if owner := s.nodes[t.node]; owner != nil {
 			delete(owner.runs, id.TaskID)
