--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -302,19 +302,10 @@
 // lookUpRuns looks up the jobs of a sidecar's runs in the store and releases the
 // runs whose jobs are no longer open.
 func (p *Process) lookUpRuns(c scheduler.Lookup) {
-	isOpen := make(map[batch.JobID]bool)
+	isOpen := p.openJobsAmong(c.Runs)
 	var closed, unresolved []batch.RunID
 	for _, id := range c.Runs {
-		open, known := isOpen[id.Job]
-		if !known {
-			state, _, err := jobstore.ReadState(p.ctx, p.deps.Store, p.settings.Keys, id.Job)
-			if err != nil {
-				p.deps.Log.Info("job lookup failed", zap.String("job", string(id.Job)), zap.Error(err))
-			}
-			open = err != nil || state == batch.Active
-			isOpen[id.Job] = open
-		}
-		if open {
+		if isOpen[id.Job] {
 			unresolved = append(unresolved, id)
 		} else {
 			closed = append(closed, id)
@@ -327,3 +318,40 @@
 		})
 	}
 }
+
+// maxSingleLookups is the number of jobs up to which each is read from the store. For
+// more, one listing of the open jobs costs less: after the loss of all entries and
+// sidecars, all runs of best-effort jobs are unclaimed.
+const maxSingleLookups = 4
+
+// openJobsAmong returns which jobs of some runs are open in the store. A job of which the
+// read fails counts as open.
+func (p *Process) openJobsAmong(runs []batch.RunID) map[batch.JobID]bool {
+	isOpen := make(map[batch.JobID]bool)
+	for _, id := range runs {
+		isOpen[id.Job] = true
+	}
+	if len(isOpen) > maxSingleLookups {
+		open, err := jobstore.ListOpen(p.ctx, p.deps.Store, p.settings.Keys)
+		if err != nil {
+			p.deps.Log.Info("listing open jobs failed", zap.Error(err))
+			return isOpen
+		}
+		clear(isOpen)
+		for _, o := range open.Jobs {
+			isOpen[o.ID] = true
+		}
+		for _, id := range open.Malformed {
+			isOpen[id] = true
+		}
+		return isOpen
+	}
+	for id := range isOpen {
+		state, _, err := jobstore.ReadState(p.ctx, p.deps.Store, p.settings.Keys, id)
+		if err != nil {
+			p.deps.Log.Info("job lookup failed", zap.String("job", string(id)), zap.Error(err))
+		}
+		isOpen[id] = err != nil || state == batch.Active
+	}
+	return isOpen
+}
