--- a/internal/platform/directory.go
+++ b/internal/platform/directory.go
@@ -201,7 +201,11 @@
 		kv, err := d.store.Get(ctx, key)
 		switch {
 		case err != nil:
+			// The store fails reads as well; further attempts at once would only add load.
 			unknownOutcome.Err = err
+			if !sleep(ctx, jittered(initialBackoff)) {
+				return 0, unknownOutcome
+			}
 		case kv.ModRevision != expected && isOwnWrite(kv.Value):
 			return kv.ModRevision, nil
 		case kv.ModRevision != expected:
--- a/internal/platform/recovery.go
+++ b/internal/platform/recovery.go
@@ -27,8 +27,8 @@
 	return &Recovery{announced: make(chan struct{})}
 }
 
-// announce wakes all waiting callers.
-func (r *Recovery) announce() {
+// Announce wakes all waiting callers.
+func (r *Recovery) Announce() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	close(r.announced)
@@ -41,9 +41,9 @@
 	return r.announced
 }
 
-// wait waits for d or, if that is sooner, until shortly after the next
+// Wait waits for d or, if that is sooner, until shortly after the next
 // announcement. It reports whether ctx lasted that long.
-func (r *Recovery) wait(ctx context.Context, d time.Duration) bool {
+func (r *Recovery) Wait(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/platform/registration.go
+++ b/internal/platform/registration.go
@@ -249,7 +249,7 @@
 		failures.noteResult(err)
 		wait := sleep
 		if err != nil {
-			wait = d.settings.Recovery.wait
+			wait = d.settings.Recovery.Wait
 		}
 		if !wait(ctx, jittered(interval)) {
 			break
@@ -340,7 +340,7 @@
 		f.report(err)
 	}
 	if err == nil && f.failing {
-		f.recovery.announce()
+		f.recovery.Announce()
 	}
 	f.failing = err != nil
 }
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -93,7 +93,7 @@
 			return
 		}
 		failures.noteResult(err)
-		if !d.settings.Recovery.wait(ctx, retryBackoff.NextBackOff()) {
+		if !d.settings.Recovery.Wait(ctx, retryBackoff.NextBackOff()) {
 			return
 		}
 	}
--- a/internal/sidecarnode/remember.go
+++ b/internal/sidecarnode/remember.go
@@ -33,7 +33,7 @@
 // restarted sidecar accepts no task until the next report.
 func (p *Process) persistWorker(ctx context.Context) {
 	var revision platform.Revision
-	p.retry(ctx, "read worker", func(ctx context.Context) error {
+	p.retry(ctx, "read worker", restoreRetryPause, func(ctx context.Context) error {
 		kv, err := p.deps.Store.Get(ctx, p.workerKey())
 		if err != nil || kv.ModRevision == 0 {
 			return err
@@ -57,7 +57,7 @@
 				p.deps.Log.Warn("worker record not encoded", zap.Error(err))
 				continue
 			}
-			p.retry(ctx, "keep worker", func(ctx context.Context) error {
+			p.retry(ctx, "keep worker", storeRetryPause, func(ctx context.Context) error {
 				return p.writeWorker(ctx, value, &revision)
 			})
 		}
--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -115,6 +115,13 @@
 	listPause = 6 * time.Millisecond
 	// retryPause is the wait before a failed call is retried.
 	retryPause = 100 * time.Millisecond
+	// storeRetryPause is the wait before a failed call to the store is retried. It is
+	// short because entries place nothing on an unregistered worker.
+	storeRetryPause = 200 * clock.Millis(1)
+	// restoreRetryPause is the same for the read of the worker record at the start. A
+	// registration that succeeds ends the wait, so that one call of each sidecar probes a
+	// failing store.
+	restoreRetryPause = 1 * clock.Second
 	// returnPause replaces it for a listing that the worker refuses while a start without
 	// an answer may be executed late. A worker that starts again executes such a start
 	// until its first listing, so that listing must not be late. A refused connection to
@@ -142,6 +149,8 @@
 	// lateStartsUntil is until when the worker may execute a start without an answer, in
 	// Unix ms.
 	lateStartsUntil atomic.Int64
+	// storeRecovery wakes the calls to the store that wait for a retry.
+	storeRecovery *platform.Recovery
 	// workerUpdates holds the newest worker record that has yet to be stored.
 	workerUpdates chan executor.Worker
 }
@@ -156,6 +165,7 @@
 		core:          executor.New(int64(d.Clock.Now()), s.MaxLease),
 		control:       control.New(d.Clock, d.Pauses),
 		workerUpdates: make(chan executor.Worker, 1),
+		storeRecovery: platform.NewRecovery(),
 		sessions:      make(map[ownership.Incarnation]*peer.Session),
 	}
 	if d.Evacuations != nil {
@@ -398,8 +408,8 @@
 // at this address are deleted afterwards.
 func (p *Process) register(ctx context.Context) {
 	own := platform.SidecarRegistration{Sidecar: p.settings.Incarnation, Domain: p.settings.Domain, Address: p.settings.Address}
-	p.retry(ctx, "register", func(ctx context.Context) error { return p.deps.Directory.RegisterSidecar(ctx, own) })
-	p.retry(ctx, "read deposed entries", func(ctx context.Context) error {
+	p.retry(ctx, "register", storeRetryPause, func(ctx context.Context) error { return p.deps.Directory.RegisterSidecar(ctx, own) })
+	p.retry(ctx, "read deposed entries", storeRetryPause, func(ctx context.Context) error {
 		listing, err := p.deps.Store.Range(ctx, platform.Prefix(p.settings.Keys.DeposedPrefix()), 0)
 		if err != nil {
 			return err
@@ -411,7 +421,7 @@
 		p.push(func(now clock.Millis) { p.core.FencesLoaded(now, fences) })
 		return nil
 	})
-	p.retry(ctx, "delete earlier registrations", func(ctx context.Context) error {
+	p.retry(ctx, "delete earlier registrations", storeRetryPause, func(ctx context.Context) error {
 		sidecars, err := p.deps.Directory.ListSidecars(ctx)
 		if err != nil {
 			return err
@@ -442,21 +452,22 @@
 	}
 }
 
-// retry repeats a store call until it succeeds or ctx ends.
-func (p *Process) retry(ctx context.Context, what string, f func(context.Context) error) {
+// retry repeats a store call until it succeeds or ctx ends. After a failure it waits for
+// pause or until another call of this process has succeeded again.
+func (p *Process) retry(ctx context.Context, what string, pause clock.Millis, f func(context.Context) error) {
 	failing := false
 	for ctx.Err() == nil {
 		err := f(ctx)
 		if err == nil {
+			if failing {
+				p.storeRecovery.Announce()
+			}
 			return
 		}
 		if !failing {
 			failing = true
 			p.deps.Log.Warn("store call failed, repeating it", zap.String("call", what), zap.Error(err))
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(2 * retryPause):
-		}
+		p.storeRecovery.Wait(ctx, pause.Duration())
 	}
 }
