scheduler, platform: Take the remote factor from the settings

Cause of the loss at a factor of 3: remote runs counted against the learned speed of their workers, so that workers outside a hot rack seemed up to three times slower than they are, also to tasks without data. A run is now compared with its expected time at its place.

--- a/internal/loadtest/fleet_test.go
+++ b/internal/loadtest/fleet_test.go
@@ -218,7 +218,7 @@
 			domain = p.entryDomains[i]
 		}
 		e := &entry{id: id, domain: domain, pending: make(map[scheduler.Request]*submission), core: scheduler.New(scheduler.Settings{
-			Self: id, Domain: domain, GrantDuration: 6 * clock.Second, BestEffortGrantDuration: 1100, JobLeaseDuration: executor.JobLeaseDuration, StoreContactTimeout: 8 * clock.Second, OfferDuration: executor.OfferDuration, OutsideSubsetReportInterval: executor.LooseReportInterval, EndedRetention: clock.Minute, Seed: p.seed + uint64(i),
+			Self: id, Domain: domain, GrantDuration: 6 * clock.Second, BestEffortGrantDuration: 1100, JobLeaseDuration: executor.JobLeaseDuration, StoreContactTimeout: 8 * clock.Second, OfferDuration: executor.OfferDuration, OutsideSubsetReportInterval: executor.LooseReportInterval, EndedRetention: clock.Minute, Seed: p.seed + uint64(i), RemoteFactor: p.remoteFactor,
 		})}
 		e.core.SetEntries(live)
 		f.entries = append(f.entries, e)
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -32,9 +32,9 @@
 	// minObservedRunTime is the declared run time below which a run is not used to
 	// learn slowness: the calls around a shorter run take too large a part.
 	minObservedRunTime = 20 * clock.Millis(1)
-	// remoteRackFactor is the factor by which a task is expected to take longer
-	// outside the rack of its data.
-	remoteRackFactor = 1.5
+	// defaultRemoteFactor is the factor by which a task is expected to take longer
+	// outside the rack of its data if the settings give none.
+	defaultRemoteFactor = 1.5
 )
 
 // node is a sidecar with its worker.
@@ -93,6 +93,8 @@
 	slowness, usualSlowness float64
 	observedRuns            int
 	observedAt              clock.Millis
+	// remoteFactor is that of Settings.
+	remoteFactor float64
 	// grantsJobLeases is true if the sidecar answers lease requests.
 	grantsJobLeases bool
 	leases          pendingLeases
@@ -109,8 +111,8 @@
 	required batch.Resources
 }
 
-func newNode(address Address) *node {
-	return &node{address: address, runs: make(map[batch.TaskID]boundTask), slowness: 1, usualSlowness: 1}
+func newNode(address Address, remoteFactor float64) *node {
+	return &node{address: address, runs: make(map[batch.TaskID]boundTask), slowness: 1, usualSlowness: 1, remoteFactor: remoteFactor}
 }
 
 // orders returns the orders that the next flush sends.
@@ -158,7 +160,7 @@
 func (s *Scheduler) SidecarConnected(address Address, domain ownership.Domain, id ownership.Incarnation) {
 	n := s.nodes[address]
 	if n == nil {
-		n = newNode(address)
+		n = newNode(address, s.settings.RemoteFactor)
 		n.rank = rendezvousHash(s.settings.Self, address)
 		s.nodes[address] = n
 		s.nodeList = append(s.nodeList, n)
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -134,11 +134,7 @@
 
 // expectedRunTime returns the expected run time of a task of a step in ms.
 func (n *node) expectedRunTime(step *batch.Step) float64 {
-	run := float64(step.EstimatedRunTime) * n.slowness
-	if step.DataRack != "" && !slices.Contains(n.load.GetLabels(), step.DataRack) {
-		run *= remoteRackFactor
-	}
-	return run
+	return float64(step.EstimatedRunTime) * n.slowness * n.rackFactor(step)
 }
 
 // finishesInTime reports whether a task of a step that starts now is expected to
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -46,6 +46,9 @@
 	OutsideSubsetReportInterval clock.Millis
 	// EndedRetention is how long the end of a stored job is remembered.
 	EndedRetention clock.Millis
+	// RemoteFactor is the factor by which a task takes longer outside the rack of its
+	// data; defaultRemoteFactor applies if it is not above 0.
+	RemoteFactor float64
 	// Seed of the random numbers that spread load over similar workers.
 	Seed uint64
 	// LogsJob reports whether the Decisions of a job without trouble are written to
@@ -153,6 +156,9 @@
 
 // New returns a Scheduler without jobs and workers.
 func New(s Settings) *Scheduler {
+	if s.RemoteFactor <= 0 {
+		s.RemoteFactor = defaultRemoteFactor
+	}
 	return &Scheduler{
 		settings:            s,
 		attemptResidue:      attemptResidue(s.Self),
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -330,7 +330,8 @@
 		return
 	}
 	if t.state == taskBound {
-		n.observeRunTime(now, j.Steps[t.step].EstimatedRunTime, took)
+		step := &j.Steps[t.step]
+		n.observeRunTime(now, clock.Millis(float64(step.EstimatedRunTime)*n.rackFactor(step)), took)
 		n.recordSuccess()
 		if owner := s.nodes[t.node]; owner != nil {
 			delete(owner.runs, id.TaskID)
