scheduler: Expected wait from the queued work of all entries

Cause: expectedWait assumed that every entry had as much queued work as this one. Entries with many clients refused jobs while workers had capacity, those with few accepted them for too long.

An entry with queued tasks now tells the others their work by service and priority, at most every 100 ms and once when nothing waits. A note counts for a second and until the session ends; without one, an equal share is assumed. Work for a label, or for a rack while others have room, counts only for jobs that need the same workers. Late jobs do not count as ahead. No job is refused as overload while workers that would end it in time have free capacity for all of its tasks.

--- a/internal/entrynode/sessions.go
+++ b/internal/entrynode/sessions.go
@@ -44,7 +44,7 @@
 	h.p.push(func(now clock.Millis) {
 		if h.role == entryPeer {
 			h.p.entrySessions[s.Peer()] = s
-			h.p.core.EntryConnected(now)
+			h.p.core.EntryConnected(now, s.Peer())
 			return
 		}
 		address, ok := h.p.addresses.Load(s.Peer())
--- a/internal/loadtest/fleet_test.go
+++ b/internal/loadtest/fleet_test.go
@@ -221,6 +221,11 @@
 			Self: id, Domain: domain, GrantDuration: 6 * clock.Second, BestEffortGrantDuration: 1100, JobLeaseDuration: executor.JobLeaseDuration, StoreContactTimeout: 8 * clock.Second, OfferDuration: executor.OfferDuration, OutsideSubsetReportInterval: executor.LooseReportInterval, EndedRetention: clock.Minute, Seed: p.seed + uint64(i), RemoteFactor: p.remoteFactor,
 		})}
 		e.core.SetEntries(live)
+		for _, other := range live {
+			if other != id {
+				e.core.EntryConnected(f.now, other)
+			}
+		}
 		f.entries = append(f.entries, e)
 		f.every(entryTick, func() { e.core.RecordStoreContact(f.now); e.dirty = true })
 	}
--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -45,7 +45,7 @@
 	case starting && s.witnesses.hasUnready():
 		return "", 0
 	}
-	wait := s.expectedWait(b, capacity)
+	wait := s.expectedWait(now, b, capacity)
 	longest := 0.0
 	for i := range b.Steps {
 		longest = max(longest, s.fastestRunTime(b.Service, &b.Steps[i]))
@@ -55,7 +55,7 @@
 		// Under overload, late jobs are not started.
 		maxResponse = b.Objective
 	}
-	if wait > 0 && wait+responseOverhead+clock.Millis(longest) > maxResponse {
+	if wait > 0 && wait+responseOverhead+clock.Millis(longest) > maxResponse && !s.hasFreeCapacity(now, b) {
 		s.lastExpectedWait = wait
 		return reasonOverload, max(minRetryAfter, wait)
 	}
@@ -95,20 +95,29 @@
 	return capacity, true
 }
 
-// expectedWait returns the time until the queued work of the same or a higher
-// priority has started, given this entry's share of the workers' capacity.
-func (s *Scheduler) expectedWait(b batch.Job, capacity float64) clock.Millis {
-	ahead := 0.0
+// expectedWait returns the time until the queued work in time of the same or a higher
+// priority has started, at this entry and the others. An entry of which nothing is known is
+// assumed to have as much as this one.
+func (s *Scheduler) expectedWait(now clock.Millis, b batch.Job, capacity float64) clock.Millis {
+	if capacity <= 0 {
+		return 0
+	}
+	own, restricted := 0.0, 0.0
 	for _, j := range s.queue {
-		if j.stage == overdue || j.Service != b.Service || j.Priority > b.Priority || j.isHeldElsewhere() {
-			continue
+		switch {
+		case j.stage != inTime || j.Service != b.Service || j.Priority > b.Priority || j.isHeldElsewhere():
+		case !s.isRestricted(j):
+			own += j.pendingWork()
+		case sharesRestriction(j.Steps, b.Steps):
+			restricted += j.pendingWork()
 		}
-		ahead += j.pendingWork()
 	}
-	if ahead == 0 || capacity <= 0 {
-		return 0
+	others, unknown := s.workOfOthers(now, workClass{b.Service, b.Priority})
+	wait := (own*float64(1+unknown) + others) / capacity
+	if restricted > 0 {
+		wait += restricted * float64(s.entryCount) / max(1, s.restrictedCapacity(b))
 	}
-	return clock.Millis(ahead / capacity * float64(s.entryCount))
+	return clock.Millis(wait)
 }
 
 // pendingWork returns the declared work of a job's pending tasks in millicores
@@ -131,6 +140,6 @@
 	if !fits {
 		return storeRetryAfter
 	}
-	s.lastExpectedWait = s.expectedWait(b, capacity)
+	s.lastExpectedWait = s.expectedWait(s.now, b, capacity)
 	return max(minRetryAfter, s.lastExpectedWait)
 }
--- a/internal/scheduler/cancellations.go
+++ b/internal/scheduler/cancellations.go
@@ -67,7 +67,10 @@
 
 // EntryConnected handles the start of a session with another entry, which may have
 // missed earlier notes.
-func (s *Scheduler) EntryConnected(now clock.Millis) { s.repeatCancellations(now) }
+func (s *Scheduler) EntryConnected(now clock.Millis, id ownership.Incarnation) {
+	s.queuedWork.peers[id] = peerWork{}
+	s.repeatCancellations(now)
+}
 
 // repeatCancellations sends the recent cancellations to the other entries again.
 func (s *Scheduler) repeatCancellations(now clock.Millis) {
--- a/internal/scheduler/cancellations_test.go
+++ b/internal/scheduler/cancellations_test.go
@@ -59,7 +59,7 @@
 	if got := b.cancellationNotes(); got == 0 {
 		t.Error("notes after the cancellation: got none")
 	}
-	b.s.EntryConnected(b.now)
+	b.s.EntryConnected(b.now, "entry-other")
 	b.tick()
 	if got := b.cancellationNotes(); got == 0 {
 		t.Error("notes with a new session: got none")
@@ -72,7 +72,7 @@
 	}
 	b.advance(1500)
 	b.takeCommands()
-	b.s.EntryConnected(b.now)
+	b.s.EntryConnected(b.now, "entry-other")
 	b.advance(clock.Second)
 	if got := b.cancellationNotes(); got != 0 {
 		t.Errorf("notes more than 10 s after the cancellation: got %d, want none", got)
--- a/internal/scheduler/jobs.go
+++ b/internal/scheduler/jobs.go
@@ -372,7 +372,8 @@
 	for _, id := range n.GetCancelled() {
 		s.jobCancelledByPeer(now, batch.JobID(id))
 	}
-	if len(n.GetCancelled()) > 0 && n.Pending == nil {
+	s.recordQueuedWork(now, from, n)
+	if (len(n.GetCancelled()) > 0 || n.GetQueuedWorkSet()) && n.Pending == nil {
 		return
 	}
 	counts := make(map[batch.Route]int64, len(n.GetPending()))
@@ -402,6 +403,7 @@
 // remain pending until they are taken over.
 func (s *Scheduler) EntryDisconnected(id ownership.Incarnation) {
 	s.dropPendingBy(id, s.now+lostPendingRetention)
+	delete(s.queuedWork.peers, id)
 	s.stopRunsOfLostOwner(id)
 	s.disruptedAt = s.now
 }
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -24,6 +24,7 @@
 
 // placeTasks binds pending tasks to workers with free capacity.
 func (s *Scheduler) placeTasks(now clock.Millis) {
+	s.placedAt = now
 	if len(s.queue) == 0 {
 		return
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -119,8 +119,11 @@
 	leaseQueue []*node
 	// notedPending is true if the last note to the other entries had pending jobs.
 	notedPending bool
+	queuedWork   queuedWork
 	// pools holds the aggregate of each service's workers.
-	pools         map[string]*pool
+	pools map[string]*pool
+	// placedAt is the time of the last placement pass.
+	placedAt      clock.Millis
 	slownessDueAt clock.Millis
 	sweepDueAt    clock.Millis
 	expiryDueAt   clock.Millis
@@ -172,6 +175,7 @@
 		peerPending:         make(map[ownership.Incarnation]peerPending),
 		pools:               make(map[string]*pool),
 		patience:            make(map[batch.Route]patience),
+		queuedWork:          queuedWork{peers: make(map[ownership.Incarnation]peerWork)},
 		suspects:            suspects{nodes: make(map[Address]bool)},
 		entryCount:          1,
 	}
@@ -220,6 +224,7 @@
 	s.deposeMissing(now)
 	s.listIfDue(now)
 	s.placeTasks(now)
+	s.noteQueuedWork(now)
 	s.flushOrders(now)
 	s.flushJobLeases(now)
 	if now >= s.sweepDueAt {
