scheduler, entrynode: Metrics of refusals by free capacity, queued work of others

teaseltide_refused_free_share shows, by reason, which share of the capacity was free when a job was refused or given up; teaseltide_others_queued_core_seconds shows the work that waits at the other entries, as their notes tell. The sum is kept up when a note arrives and every 500 ms, so that a turn of the control thread costs no more than before.

--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -202,7 +202,7 @@
 		p.callerFoundGone = false
 		p.runCore(now)
 	}
-	p.deps.Metrics.addCounters(p.core.Counters(), p.core.OpenJobs())
+	p.deps.Metrics.addCounters(p.core.Counters(), p.core.OpenJobs(), p.core.OthersQueuedWork())
 	if p.deposed.Load() {
 		p.deps.Log.Warn("deposed by another entry", zap.Int("open-jobs", p.core.OpenJobs()))
 		return false
--- a/internal/entrynode/joblines.go
+++ b/internal/entrynode/joblines.go
@@ -19,8 +19,10 @@
 		p.deps.Metrics.observeDuration(c.Reason, clock.Millis(c.Value))
 	case scheduler.JobGivenUp:
 		p.deps.Metrics.givenUp.WithLabelValues(reasonLabel(c.Reason)).Inc()
+		p.deps.Metrics.refusedFree.WithLabelValues(reasonLabel(c.Reason)).Observe(c.FreeShare)
 	case scheduler.JobRefused:
 		p.deps.Metrics.refused.WithLabelValues(reasonLabel(c.Reason)).Inc()
+		p.deps.Metrics.refusedFree.WithLabelValues(reasonLabel(c.Reason)).Observe(c.FreeShare)
 	}
 	if log := p.decisionLogger(c); log != nil {
 		log.Info(c.Summary, decisionFields(c)...)
--- a/internal/entrynode/metrics.go
+++ b/internal/entrynode/metrics.go
@@ -18,12 +18,19 @@
 	duration     *prometheus.HistogramVec
 	// refused, givenUp and callersLeft are counted by reason.
 	refused, givenUp, callersLeft *prometheus.CounterVec
+	// refusedFree has the free share of capacity at refusals, by reason.
+	refusedFree *prometheus.HistogramVec
+	othersWork  prometheus.Gauge
 }
 
 // durationBuckets are the histogram buckets of job durations in seconds, from a
 // short task to the longest wait of a caller.
 var durationBuckets = []float64{.05, .1, .2, .4, .8, 1.6, 3.2, 6.4}
 
+// freeShareBuckets are the histogram buckets of the free share of capacity: workers are
+// crowded with less than 0.15.
+var freeShareBuckets = []float64{0, .02, .05, .1, .15, .25, .5, 1}
+
 // NewMetrics creates and registers the metrics.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
@@ -49,14 +56,24 @@
 		callersLeft: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "teaseltide_callers_left_total", Help: "Callers that did not wait for the reply, by reason.",
 		}, []string{"reason"}),
+		refusedFree: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "teaseltide_refused_free_share", Help: "Free share of the capacity when a job was refused or given up, by reason.", Buckets: freeShareBuckets,
+		}, []string{"reason"}),
+		othersWork: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "teaseltide_others_queued_core_seconds", Help: "Declared work that waits at the other entries.",
+		}),
 	}
-	r.MustRegister(m.jobs, m.runs, m.events, m.open, m.duration, m.refused, m.givenUp, m.callersLeft)
+	r.MustRegister(m.jobs, m.runs, m.events, m.open, m.duration, m.refused, m.givenUp, m.callersLeft, m.refusedFree, m.othersWork)
 	return m
 }
 
+// coreSecond is a core for a second, in millicores times ms.
+const coreSecond = 1e6
+
 // addCounters adds the increase of the core's counters since the last call. Those
 // of a new incarnation start at 0, which adds nothing.
-func (m *Metrics) addCounters(c scheduler.Counters, open int) {
+func (m *Metrics) addCounters(c scheduler.Counters, open int, othersWork float64) {
+	m.othersWork.Set(othersWork / coreSecond)
 	if c == m.lastCounters {
 		return
 	}
--- a/internal/scheduler/besteffort.go
+++ b/internal/scheduler/besteffort.go
@@ -70,7 +70,7 @@
 	}
 	s.pendingCommands = append(s.pendingCommands,
 		Reply{Request: r, Result: result, RetryAfter: retryAfter},
-		Decision{Summary: JobRefused, Job: b.ID, Route: b.Route, Reason: reason, Value: int64(retryAfter), Details: s.refusalInputs(b.Service, reason)})
+		Decision{Summary: JobRefused, Job: b.ID, Route: b.Route, Reason: reason, Value: int64(retryAfter), Details: s.refusalInputs(b.Service, reason), FreeShare: s.freeShare(b.Service)})
 }
 
 // CallerDisconnected handles the disconnection of a request's caller. A
@@ -106,7 +106,7 @@
 // start orders are in flight, the reply waits for the sidecars to report whether
 // a run started.
 func (s *Scheduler) abandon(now clock.Millis, j *job, reason string, retryAfter clock.Millis) {
-	s.pendingCommands = append(s.pendingCommands, Decision{Summary: JobGivenUp, Job: j.ID, Route: j.Route, Reason: reason, Value: int64(now - j.acceptedAt), Details: s.givenUpInputs(j, reason)})
+	s.pendingCommands = append(s.pendingCommands, Decision{Summary: JobGivenUp, Job: j.ID, Route: j.Route, Reason: reason, Value: int64(now - j.acceptedAt), Details: s.givenUpInputs(j, reason), FreeShare: s.freeShare(j.Service)})
 	s.counters.Refused++
 	j.refusedRequests = j.submitters
 	j.replyBy, j.retryAfter = now+startConfirmationTimeout, retryAfter
--- a/internal/scheduler/decisions.go
+++ b/internal/scheduler/decisions.go
@@ -34,6 +34,9 @@
 	Reason  string
 	Value   int64
 	Details Details
+	// FreeShare is the share of the service's capacity that was free when a job was refused
+	// or given up.
+	FreeShare float64
 }
 
 func (Decision) command() {}
@@ -92,6 +95,14 @@
 	return d
 }
 
+// freeShare returns the share of a service's capacity that is free, as this entry knows it.
+func (s *Scheduler) freeShare(service string) float64 {
+	if p := s.pools[service]; p != nil {
+		return max(0, 1-p.utilization())
+	}
+	return 0
+}
+
 // givenUpInputs returns the inputs of the decision to give up a job, with the
 // number of runs that are told to stop.
 func (s *Scheduler) givenUpInputs(j *job, reason string) Details {
--- a/internal/scheduler/queuedwork.go
+++ b/internal/scheduler/queuedwork.go
@@ -24,6 +24,25 @@
 	// notedAt is the time of the last own note, noted whether it contained work.
 	notedAt clock.Millis
 	noted   bool
+	// others is the sum of the work of peers when it was last computed.
+	others float64
+}
+
+// OthersQueuedWork returns the declared work that waits at the other entries, in millicores
+// times ms, at most 500 ms old.
+func (s *Scheduler) OthersQueuedWork() float64 { return s.queuedWork.others }
+
+// sumOthers computes the sum of the other entries' queued work.
+func (q *queuedWork) sumOthers(now clock.Millis) {
+	q.others = 0
+	for _, p := range q.peers {
+		if p.isStale(now) {
+			continue
+		}
+		for _, w := range p.work {
+			q.others += w
+		}
+	}
 }
 
 // peerWork is the declared work of another entry's queued tasks, in millicores times ms,
@@ -54,6 +73,7 @@
 		p.work[workClass{w.GetService(), int(w.GetPriority())}] += float64(max(0, w.GetWork()))
 	}
 	s.queuedWork.peers[from] = p
+	s.queuedWork.sumOthers(now)
 }
 
 // noteQueuedWork tells the other entries of the work that waits here for capacity: at most
--- a/internal/scheduler/queuedwork_test.go
+++ b/internal/scheduler/queuedwork_test.go
@@ -174,3 +174,30 @@
 		t.Error("a job behind 60 tasks for the only worker with its label was accepted")
 	}
 }
+
+// Guards against figures for operators that are out of date: the queued work of an entry that
+// has become silent, or the free capacity at a refusal.
+func TestFiguresOfContention(t *testing.T) {
+	b := newSharedTestbed(t)
+	b.note(60, 0)
+	if got, want := b.s.OthersQueuedWork(), 60.0*6000*100; got != want {
+		t.Errorf("queued work of others: got %v, want %v", got, want)
+	}
+	b.now += 10
+	b.send("w1", &wire.TaskReport{Load: &wire.WorkerLoad{Cpu: 20_000, FreeCpu: 4000, MemoryMb: 1000, FreeMemoryMb: 1000, Ready: true, Service: "s"}})
+	b.takeCommands()
+	b.submit(job("j", 1, true))
+	var got []scheduler.Decision
+	for _, c := range b.takeCommands() {
+		if d, ok := c.(scheduler.Decision); ok && d.Summary == scheduler.JobRefused {
+			got = append(got, d)
+		}
+	}
+	if len(got) != 1 || got[0].FreeShare < 0.099 || got[0].FreeShare > 0.101 {
+		t.Errorf("refusals: got %v, want one with a free share of 0.1", got)
+	}
+	b.advanceFull(1600)
+	if got := b.s.OthersQueuedWork(); got != 0 {
+		t.Errorf("queued work of an entry that is silent: got %v, want 0", got)
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -276,6 +276,7 @@
 		s.pendingCommands = append(s.pendingCommands, BroadcastNote{Note: &wire.EntryNote{Pending: own}})
 	}
 	s.repeatCancellations(now)
+	s.queuedWork.sumOthers(now)
 	maps.DeleteFunc(s.peerPending, func(_ ownership.Incarnation, p peerPending) bool { return p.dropAt != 0 && now >= p.dropAt })
 }
 
