executor, scheduler: Offer capacity by the time left until the objective

Entries send the time left until the objective of their most urgent task with their demand; a sidecar offers its free capacity by stage, priority and that time, whichever entry it is from, instead of in turn among equally urgent ones. Entries of earlier versions send 0, which counts as due on receipt.

--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -797,6 +797,44 @@
 	}
 }
 
+// Guards against capacity for an entry whose task has more time left than that of another one,
+// only because it is its turn. An entry of an earlier version tells no time: its task counts as
+// due now.
+func TestFreeCapacityIsOfferedToTheEarliestObjective(t *testing.T) {
+	const entryC = ownership.Incarnation("entry-c")
+	h := newHarness(t)
+	h.x.EntryConnected(entryB)
+	h.x.EntryConnected(entryC)
+	h.tick()
+	h.take()
+	demand := func(from ownership.Incarnation, urgency int32, due int64) {
+		h.x.OrdersReceived(h.now, from, &wire.TaskOrders{GrantedFrom: int64(h.now), Demand: urgency, DemandCpu: 6000, DemandDueMs: due})
+	}
+	expect := func(when string, want ownership.Incarnation) {
+		t.Helper()
+		h.tick()
+		if got, want := h.offers(), (map[ownership.Incarnation]bool{want: true}); !maps.Equal(got, want) {
+			t.Fatalf("offers %s: got %v, want %v", when, got, want)
+		}
+	}
+	demand(entryA, 2, 10)
+	demand(entryB, 1, 200)
+	demand(entryC, 1, 120)
+	expect("with the earliest objective at the third entry", entryC)
+	h.advance(1)
+	demand(entryC, 1, 119)
+	expect("after the third entry declined", entryB)
+	h.advance(30)
+	h.take()
+	demand(entryB, 0, 0)
+	demand(entryC, 1, 100)
+	demand(entryA, 1, 0)
+	h.advance(30)
+	if got := h.offers(); !got[entryA] || got[entryC] {
+		t.Errorf("offers with an entry of an earlier version: got %v, want it first", got)
+	}
+}
+
 // offers returns the entries that got an offer since the last call of take.
 func (h *harness) offers() map[ownership.Incarnation]bool {
 	out := make(map[ownership.Incarnation]bool)
--- a/internal/executor/offers.go
+++ b/internal/executor/offers.go
@@ -1,6 +1,8 @@
 package executor
 
 import (
+	"cmp"
+
 	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/wire"
 	"github.com/teaseltide/teaseltide/pkg/clock"
@@ -22,6 +24,8 @@
 	urgency int32
 	// cpu is what the task needs, in thousandths of a core.
 	cpu int64
+	// dueAt is the time of the objective of the task, by the clock of this sidecar.
+	dueAt clock.Millis
 	// offeredAt is when the entry last got an offer, declinedAt when it last
 	// declined one.
 	offeredAt, declinedAt clock.Millis
@@ -40,7 +44,7 @@
 // with the offer, or on a later one, answer the offer; without a start they
 // decline it.
 func (x *Executor) updateDemand(now clock.Millis, from ownership.Incarnation, e *entry, o *wire.TaskOrders) {
-	e.urgency, e.cpu = o.GetDemand(), o.GetDemandCpu()
+	e.urgency, e.cpu, e.dueAt = o.GetDemand(), o.GetDemandCpu(), now+clock.Millis(o.GetDemandDueMs())
 	if x.offer.entry == from && x.offer.sentAt != 0 && o.GetGrantedFrom() >= int64(x.offer.sentAt) {
 		x.offer = offer{}
 		if len(o.GetStarts()) == 0 {
@@ -49,8 +53,9 @@
 	}
 }
 
-// offerCapacity offers the free capacity to the entry with the most urgent task;
-// entries with equally urgent tasks take turns.
+// offerCapacity offers the free capacity to the entry with the most urgent task, and among
+// equally urgent ones to that with the earliest objective. Entries with the same objective
+// take turns.
 func (x *Executor) offerCapacity(now clock.Millis) {
 	if x.offer.entry != "" && now < x.offer.expiresAt {
 		return
@@ -66,8 +71,7 @@
 		if !e.connected || e.deposed || e.urgency == 0 || e.cpu > free || now-e.declinedAt < declinedOfferPause {
 			continue
 		}
-		if best == nil || e.urgency < best.urgency ||
-			e.urgency == best.urgency && (e.offeredAt < best.offeredAt || e.offeredAt == best.offeredAt && id < bestID) {
+		if best == nil || cmp.Or(cmp.Compare(e.urgency, best.urgency), cmp.Compare(e.dueAt, best.dueAt), cmp.Compare(e.offeredAt, best.offeredAt), cmp.Compare(id, bestID)) < 0 {
 			best, bestID = e, id
 		}
 	}
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -20,6 +20,8 @@
 	// urgency is 1 for the most urgent, 0 if there is no demand.
 	urgency int32
 	cpu     int64
+	// due is the time left until the objective of the task's job.
+	due clock.Millis
 }
 
 // updateDemandJobs updates the queued jobs that may start as soon as a worker has room.
@@ -48,6 +50,7 @@
 			return demand{
 				urgency: 1 + int32(j.stage)*demandPriorities + int32(min(max(j.Priority, 0), demandPriorities-1)),
 				cpu:     step.Required.CPU,
+				due:     j.dueAt() - now,
 			}
 		}
 	}
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -344,7 +344,7 @@
 			orders.GrantedFrom = n.reportSentAt
 		}
 		orders.StoredWithheld = storedWithheld
-		orders.Demand, orders.DemandCpu = unmet.urgency, unmet.cpu
+		orders.Demand, orders.DemandCpu, orders.DemandDueMs = unmet.urgency, unmet.cpu, int64(unmet.due)
 		orders.Loose = n.outsideSubset
 		orders.JobLeaseReleases = n.leases.takeReleases()
 		n.outsideSubsetSent = n.outsideSubset
