entrynode: No turn of the control thread after a note about queued work

With 12 entries that have queues, an entry gets up to 110 such notes per second, and they only count for jobs that arrive later. A turn places the queue, so each would have cost a small entry processor time for nothing. internal/loadtest delivers them in the same way.

--- a/internal/entrynode/sessions.go
+++ b/internal/entrynode/sessions.go
@@ -66,6 +66,7 @@
 		switch {
 		case h.role == entryPeer && h.p.entrySessions[s.Peer()] == s && e.GetEntryNote() != nil:
 			h.p.core.HandleEntryNote(now, s.Peer(), e.GetEntryNote())
+			return !scheduler.IsQueuedWorkOnly(e.GetEntryNote())
 		case h.role == sidecarPeer && h.p.sidecarSessions[s.Peer()] == s && e.GetTaskReport() != nil:
 			if e.GetTaskReport().GetDeposed() {
 				h.p.deposed.Store(true)
--- a/internal/loadtest/contention_test.go
+++ b/internal/loadtest/contention_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/teaseltide/teaseltide/internal/batch"
 	"github.com/teaseltide/teaseltide/internal/ownership"
+	"github.com/teaseltide/teaseltide/internal/scheduler"
 	"github.com/teaseltide/teaseltide/internal/wire"
 	"github.com/teaseltide/teaseltide/pkg/clock"
 )
@@ -116,7 +117,7 @@
 		f.notes++
 		f.after(linkDelay, func() {
 			e.core.HandleEntryNote(f.now, from.id, n)
-			e.dirty = true
+			e.dirty = e.dirty || !scheduler.IsQueuedWorkOnly(n)
 		})
 	}
 }
--- a/internal/scheduler/queuedwork.go
+++ b/internal/scheduler/queuedwork.go
@@ -76,6 +76,13 @@
 	s.queuedWork.sumOthers(now)
 }
 
+// IsQueuedWorkOnly reports whether a note tells nothing but queued work, after which no
+// decision is due: it counts for the jobs that arrive next. With 12 entries, an entry gets up
+// to 110 such notes per second.
+func IsQueuedWorkOnly(note *wire.EntryNote) bool {
+	return note.GetQueuedWorkSet() && len(note.GetCancelled()) == 0 && note.Pending == nil && note.GetEvacuations() == nil
+}
+
 // noteQueuedWork tells the other entries of the work that waits here for capacity: at most
 // every queuedWorkInterval, and once when nothing waits any more.
 func (s *Scheduler) noteQueuedWork(now clock.Millis) {
--- a/internal/scheduler/queuedwork_test.go
+++ b/internal/scheduler/queuedwork_test.go
@@ -201,3 +201,23 @@
 		t.Errorf("queued work of an entry that is silent: got %v, want 0", got)
 	}
 }
+
+// Guards against turns of a small entry's control thread for each of up to 110 notes per second
+// that call for no decision, and against notes whose other contents wait for the next turn.
+func TestOnlyNotesAboutQueuedWorkNeedNoTurn(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		note *wire.EntryNote
+		want bool
+	}{
+		{"queued work", &wire.EntryNote{QueuedWorkSet: true, QueuedWork: []*wire.QueuedWork{{Service: "s"}}}, true},
+		{"nothing queued", &wire.EntryNote{QueuedWorkSet: true}, true},
+		{"cancellation", &wire.EntryNote{QueuedWorkSet: true, Cancelled: []string{"j"}}, false},
+		{"pending jobs", &wire.EntryNote{Pending: map[string]int64{"r": 1}}, false},
+		{"evacuation", &wire.EntryNote{QueuedWorkSet: true, Evacuations: &wire.EvacuationSet{}}, false},
+	} {
+		if got := scheduler.IsQueuedWorkOnly(test.note); got != test.want {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
+		}
+	}
+}
