--- a/internal/loadtest/profiles_test.go
+++ b/internal/loadtest/profiles_test.go
@@ -211,3 +211,46 @@
 		t.Fatal(err)
 	}
 }
+
+// Most jobs of a kind have their data in one rack, and take three times as long elsewhere.
+// Guards against workers outside the rack that are taken for slow because of remote runs, which
+// delayed the clients of all other kinds: the value was 0.718 and that of short jobs 0.776.
+func TestHotRack(t *testing.T) {
+	f := newFleet(installations["S"].load(0.6, 1).hotRack("middle", 0.8))
+	f.run()
+	t.Log(f)
+	if got, want := f.valueShare(), 0.735; got < want {
+		t.Errorf("value share: got %.3f, want %.3f or more", got, want)
+	}
+	o := f.outcomes["short"]
+	if got, want := (float64(o.onTime)+lateValue*float64(o.late))/float64(o.submitted), 0.785; got < want {
+		t.Errorf("value share of short jobs without data: got %.3f, want %.3f or more", got, want)
+	}
+}
+
+// The clients of each zone come in waves, at 110% load, and entries have from 2% to 14% of
+// them. Guards against entries that refuse jobs as if the others had as much queued work: 0.179
+// of the jobs were refused, and the worst zone got 0.546 of the value.
+func TestWaveOfClients(t *testing.T) {
+	f := newFleet(installations["O"].load(1.1, 1).wave())
+	f.run()
+	t.Log(f)
+	submitted, refused := 0, 0
+	for _, o := range f.outcomes {
+		submitted += o.submitted
+		refused += o.refused
+	}
+	if got, want := float64(refused)/float64(submitted), 0.15; got > want {
+		t.Errorf("share of refused jobs: got %.3f, want %.2f or less", got, want)
+	}
+	for domain, z := range f.zones {
+		if got, want := z.share(), 0.56; got < want {
+			t.Errorf("value share of %s: got %.3f, want %.2f or more", domain, got, want)
+		}
+	}
+	for id := range f.refused {
+		if f.started[id] {
+			t.Errorf("job %s was refused as not run, but a task of it started", id)
+		}
+	}
+}
