--- a/internal/entrynode/sessions.go
+++ b/internal/entrynode/sessions.go
@@ -45,7 +45,7 @@
 		if h.role == entryPeer {
 			h.p.entrySessions[s.Peer()] = s
 			h.p.beginEvacuationSession(s.Peer())
-			h.p.core.EntryConnected(now)
+			h.p.core.EntryConnected(now, s.Peer())
 			return
 		}
 		address, ok := h.p.addresses.Load(s.Peer())
@@ -68,6 +68,7 @@
 		case h.role == entryPeer && h.p.entrySessions[s.Peer()] == s && e.GetEntryNote() != nil:
 			h.p.adoptEvacuations(now, s.Peer(), e.GetEntryNote().GetEvacuations())
 			h.p.core.HandleEntryNote(now, s.Peer(), e.GetEntryNote())
+			return !scheduler.IsQueuedWorkOnly(e.GetEntryNote())
 		case h.role == sidecarPeer && h.p.sidecarSessions[s.Peer()] == s && e.GetTaskReport() != nil:
 			if e.GetTaskReport().GetDeposed() {
 				h.p.deposed.Store(true)
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -32,9 +32,9 @@
 	// minObservedRunTime is the declared run time below which a run is not used to
 	// learn slowness: the calls around a shorter run take too large a part.
 	minObservedRunTime = 20 * clock.Millis(1)
-	// remoteRackFactor is the factor by which a task is expected to take longer
-	// outside the rack of its data.
-	remoteRackFactor = 1.5
+	// defaultRemoteFactor is the factor by which a task is expected to take longer
+	// outside the rack of its data if the settings give none.
+	defaultRemoteFactor = 1.5
 )
 
 // node is a sidecar with its worker.
@@ -99,6 +99,8 @@
 	slowness, usualSlowness float64
 	observedRuns            int
 	observedAt              clock.Millis
+	// remoteFactor is that of Settings.
+	remoteFactor float64
 	// grantsJobLeases is true if the sidecar answers lease requests.
 	grantsJobLeases bool
 	leases          pendingLeases
@@ -116,8 +118,8 @@
 	required batch.Resources
 }
 
-func newNode(address Address) *node {
-	return &node{address: address, runs: make(map[batch.TaskID]boundTask), slowness: 1, usualSlowness: 1}
+func newNode(address Address, remoteFactor float64) *node {
+	return &node{address: address, runs: make(map[batch.TaskID]boundTask), slowness: 1, usualSlowness: 1, remoteFactor: remoteFactor}
 }
 
 // orders returns the orders that the next flush sends.
@@ -165,7 +167,7 @@
 func (s *Scheduler) SidecarConnected(address Address, domain ownership.Domain, id ownership.Incarnation) {
 	n := s.nodes[address]
 	if n == nil {
-		n = newNode(address)
+		n = newNode(address, s.settings.RemoteFactor)
 		n.rank = rendezvousHash(s.settings.Self, address)
 		s.nodes[address] = n
 		s.nodeList = append(s.nodeList, n)
@@ -368,7 +370,7 @@
 			orders.GrantedFrom = n.reportSentAt
 		}
 		orders.StoredWithheld = storedWithheld
-		orders.Demand, orders.DemandCpu = unmet.urgency, unmet.cpu
+		orders.Demand, orders.DemandCpu, orders.DemandDueMs = unmet.urgency, unmet.cpu, int64(unmet.due)
 		orders.Loose = n.outsideSubset
 		orders.JobLeaseReleases = n.leases.takeReleases()
 		n.outsideSubsetSent = n.outsideSubset
--- a/internal/scheduler/placementpass.go
+++ b/internal/scheduler/placementpass.go
@@ -7,6 +7,7 @@
 // placeTasks binds pending tasks to workers with free capacity, in the order of the
 // queue. Tasks without a worker do not hold up those behind them.
 func (s *Scheduler) placeTasks(now clock.Millis) {
+	s.placedAt = now
 	if len(s.queue) == 0 {
 		return
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -47,6 +47,9 @@
 	OutsideSubsetReportInterval clock.Millis
 	// EndedRetention is how long the end of a stored job is remembered.
 	EndedRetention clock.Millis
+	// RemoteFactor is the factor by which a task takes longer outside the rack of its
+	// data; defaultRemoteFactor applies if it is not above 0.
+	RemoteFactor float64
 	// Seed of the random numbers that spread load over similar workers.
 	Seed uint64
 	// LogsJob reports whether the Decisions of a job without trouble are written to
@@ -120,8 +123,11 @@
 	leaseQueue []*node
 	// notedPending is true if the last note to the other entries had pending jobs.
 	notedPending bool
+	queuedWork   queuedWork
 	// pools holds the aggregate of each service's workers.
-	pools         map[string]*pool
+	pools map[string]*pool
+	// placedAt is the time of the last placement pass.
+	placedAt      clock.Millis
 	slownessDueAt clock.Millis
 	sweepDueAt    clock.Millis
 	expiryDueAt   clock.Millis
@@ -159,6 +165,9 @@
 
 // New returns a Scheduler without jobs and workers.
 func New(s Settings) *Scheduler {
+	if s.RemoteFactor <= 0 {
+		s.RemoteFactor = defaultRemoteFactor
+	}
 	return &Scheduler{
 		settings:            s,
 		attemptResidue:      attemptResidue(s.Self),
@@ -172,6 +181,7 @@
 		peerPending:         make(map[ownership.Incarnation]peerPending),
 		pools:               make(map[string]*pool),
 		patience:            make(map[batch.Route]patience),
+		queuedWork:          queuedWork{peers: make(map[ownership.Incarnation]peerWork)},
 		suspects:            suspects{nodes: make(map[Address]bool), room: make(map[string]int)},
 		entryCount:          1,
 		pass:                placementPass{classes: make(map[classKey]*placementClass)},
@@ -221,6 +231,7 @@
 	s.deposeMissing(now)
 	s.listIfDue(now)
 	s.placeTasks(now)
+	s.noteQueuedWork(now)
 	s.flushOrders(now)
 	s.flushJobLeases(now)
 	if now >= s.sweepDueAt {
@@ -273,6 +284,7 @@
 	}
 	s.pass.forgetClasses(now)
 	s.repeatCancellations(now)
+	s.queuedWork.sumOthers(now)
 	maps.DeleteFunc(s.peerPending, func(_ ownership.Incarnation, p peerPending) bool { return p.dropAt != 0 && now >= p.dropAt })
 }
 
