executor, scheduler: Separate kinds of tasks that slow each other down

The sidecar passes the starts and ends of its runs to internal/interference and lists the expected factors in its reports; entries multiply the cost of a worker by them. Eligibility, admission and what counts as in time are unchanged, so nothing waits or is refused because of it.

--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
+	"github.com/teaseltide/teaseltide/internal/interference"
 	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/wire"
 	"github.com/teaseltide/teaseltide/pkg/clock"
@@ -179,6 +180,7 @@
 	r.owner = from
 	r.bestEffort = s.GetBestEffort()
 	r.estimatedTime = clock.Millis(s.GetEstimatedMs())
+	r.kind = interference.Kind(s.GetKind())
 }
 
 // watch reports the end of a run also to an entry that does not own it.
@@ -199,6 +201,7 @@
 	r := &run{
 		id: id, owner: from, resources: resourcesOf(s), sizeKnown: true, spec: s.GetSpec(), priority: int(s.GetPriority()),
 		maxPerWorker: int(s.GetMaxPerWorker()), orderedAt: now, bestEffort: s.GetBestEffort(), estimatedTime: clock.Millis(s.GetEstimatedMs()),
+		kind: interference.Kind(s.GetKind()),
 	}
 	if known, ok := x.attempts[id.TaskID]; ok && id.Attempt <= known.number || x.runs[id.TaskID] != nil {
 		// Either another run of the task is here, or the worker would refuse the
@@ -391,6 +394,7 @@
 		report.Events = x.inventory(id)
 		e.inventoryDue = false
 	}
+	report.GetLoad().Slowdowns = x.slowdowns(now)
 	e.events, e.urgent = nil, false
 	e.sentAt = now
 	e.sentLoadVersion = x.loadVersion
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -12,6 +12,7 @@
 	"slices"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
+	"github.com/teaseltide/teaseltide/internal/interference"
 	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/wire"
 	"github.com/teaseltide/teaseltide/pkg/clock"
@@ -125,9 +126,14 @@
 	priority      int
 	maxPerWorker  int
 	estimatedTime clock.Millis
-	phase         phase
-	stopping      bool
-	stopReason    StopReason
+	kind          interference.Kind
+	// observed is true once the learner of interference knows the run.
+	observed bool
+	// cold is true if the run started before the worker had warmed up.
+	cold       bool
+	phase      phase
+	stopping   bool
+	stopReason StopReason
 	// stopSentAt is when the worker was last asked to stop the run.
 	stopSentAt clock.Millis
 	// stopOrderedAt is when an entry ordered the stop, 0 for a run that is not
@@ -297,6 +303,7 @@
 	draining        bool
 	commands        []Command
 	nextSweepAt     clock.Millis
+	observations    observations
 }
 
 // attempt is the highest attempt of a task that was ordered here.
@@ -318,6 +325,8 @@
 		entries:     make(map[ownership.Incarnation]*entry),
 		jobLeases:   make(map[batch.JobID]jobLease),
 		successors:  make(ownership.Successors),
+
+		observations: observations{learner: interference.New()},
 	}
 }
 
@@ -329,6 +338,7 @@
 	x.repeatStops(now)
 	x.startQueued(now)
 	x.returnQueued(now)
+	x.observeRuns(now)
 	x.offerCapacity(now)
 	x.advanceCursor()
 	x.sendReports(now)
--- a/internal/interference/pairs.go
+++ b/internal/interference/pairs.go
@@ -8,10 +8,13 @@
 
 const (
 	// detectionDeviations is the number of standard errors by which an effect must exceed
-	// zero. The observations of the nine pairs of three kinds are renewed every 20 s;
-	// normally distributed estimates would exceed 4.5 standard errors once in some 8
-	// worker-hours. docs/design/interference.md has the measured rate.
-	detectionDeviations = 4.5
+	// zero, selfDetectionDeviations the same for a kind beside itself: the number of runs
+	// beside a run of the same kind also grows while the worker or this kind is slow. The
+	// observations of the nine pairs of three kinds are renewed every 20 s; normally
+	// distributed estimates of the six pairs of two kinds would exceed 4.5 standard errors
+	// once in some 13 worker-hours. docs/design/interference.md has the measured rate.
+	detectionDeviations     = 4.5
+	selfDetectionDeviations = 5.5
 	// keptDeviations is the same for a pair to remain detected, keptPart the part of its
 	// strongest effect: the estimate of a strong effect that has ended decays for longer.
 	keptDeviations = 2
@@ -58,7 +61,7 @@
 			if l.active[slowed] > 0 && l.beside(slowed, by) > 0 {
 				k.pairs[by].besideAt = now
 			}
-			if l.kinds[by].kind != "" && k.pairs[by].update(now, estimates[by], l.usualNumber(slowed, by)) {
+			if l.kinds[by].kind != "" && k.pairs[by].update(now, estimates[by], l.usualNumber(slowed, by), deviationsFor(slowed, by)) {
 				changes = append(changes, l.change(slowed, by))
 			}
 		}
@@ -75,13 +78,22 @@
 	return max(1, l.kinds[slowed].fit.means[slowed])
 }
 
+// deviationsFor returns the number of standard errors by which the effect of a pair must
+// exceed zero.
+func deviationsFor(slowed, by int) float64 {
+	if slowed == by {
+		return selfDetectionDeviations
+	}
+	return detectionDeviations
+}
+
 // update updates a pair and reports whether it was detected or forgotten.
-func (p *pairState) update(now clock.Millis, e estimate, number float64) bool {
+func (p *pairState) update(now clock.Millis, e estimate, number, deviations float64) bool {
 	least := math.Log(MinEffect)
 	was := p.detected
 	switch {
 	case e.known && !was:
-		p.detected = e.effect*number > least && e.effect > detectionDeviations*e.deviation
+		p.detected = e.effect*number > least && e.effect > deviations*e.deviation
 		p.detectedAt, p.strongest = now, e.effect
 	case e.known:
 		p.strongest = max(p.strongest*(1-strongestDecay), e.effect)
@@ -126,7 +138,9 @@
 				continue
 			}
 			effect += l.effect(now, i, j)
-			if j != i {
+			// Where runs of the kind are active, a further one slows down others no more: the
+			// kinds gather on different workers.
+			if j != i && l.active[i] == 0 {
 				effect += l.effect(now, j, i)
 			}
 		}
--- a/internal/loadtest/fleet_test.go
+++ b/internal/loadtest/fleet_test.go
@@ -81,6 +81,11 @@
 	// outage is how long all entries are down from the start; their callers resubmit
 	// every resubmitDelay.
 	outage clock.Millis
+	// slowdown returns the factor by which a run of a kind is slowed down by the active
+	// runs, given by their number per kind; nil if there is no interference.
+	slowdown func(kind string, active map[string]int) float64
+	// hidesSlowdowns is true if the sidecars' reports don't tell the entries of it.
+	hidesSlowdowns bool
 }
 
 // resubmitDelay is the time after which a caller without an answer resubmits.
@@ -146,6 +151,8 @@
 	arrivalsStart, arrivalsEnd clock.Millis
 	// submitHook, if not nil, receives the jobs instead of the entries.
 	submitHook func(s *submission, tasks []float64)
+	// pairsChanged counts the changes of the interference that sidecars detected.
+	pairsChanged int
 }
 
 // entry is a simulated entry with its pending requests. dirty is true if its core
@@ -187,6 +194,7 @@
 	run       batch.RunID
 	startedAt clock.Millis
 	endsAt    clock.Millis
+	progress
 }
 
 func newFleet(p workload) *fleet {
@@ -434,8 +442,13 @@
 				f.endRun(c, r, batch.OutcomeStopped)
 			}
 		})
+	case executor.InterferenceChanged:
+		f.pairsChanged++
 	case executor.Report:
 		f.countMessage()
+		if f.hidesSlowdowns {
+			command.Report.GetLoad().Slowdowns = nil
+		}
 		for _, e := range f.entries {
 			if e.id == command.Entry {
 				f.after(linkDelay, func() {
@@ -472,11 +485,16 @@
 	}
 	r := &workerRun{run: s.Run, startedAt: f.now, endsAt: f.now + took}
 	c.running[s.Run.TaskID] = r
-	f.after(took, func() {
-		if c.running[s.Run.TaskID] == r {
-			f.endRun(c, r, end)
-		}
-	})
+	if f.slowdown != nil {
+		r.work = float64(took)
+		f.updateProgress(c)
+	} else {
+		f.after(took, func() {
+			if c.running[s.Run.TaskID] == r {
+				f.endRun(c, r, end)
+			}
+		})
+	}
 	f.after(callDelay, func() {
 		c.core.StartAnswered(f.now, s.Run, s.Token, executor.StartAccepted)
 		c.dirty = true
@@ -485,6 +503,9 @@
 
 func (f *fleet) endRun(c *sidecar, r *workerRun, end batch.Outcome) {
 	delete(c.running, r.run.TaskID)
+	if f.slowdown != nil {
+		f.updateProgress(c)
+	}
 	c.lastSequence++
 	c.ended = append(c.ended, executor.ListedEnd{Sequence: c.lastSequence, Run: r.run, End: end})
 	if c.pendingList != nil {
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -109,7 +109,7 @@
 		if t.hadTroubleOn(n) && s.hasAlternative(j, t, n) {
 			continue
 		}
-		cost := s.noisyCost(n, step) + s.separationCost(t, n)
+		cost := s.noisyCost(n, step)*n.interference(j.Route) + s.separationCost(t, n)
 		if best == nil || cost < bestCost {
 			best, bestCost = n, cost
 		}
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -128,6 +128,7 @@
 	return &wire.TaskStart{
 		Run: j.runID(t).Wire(), Spec: spec, Cpu: step.Required.CPU, MemoryMb: step.Required.MemoryMB, Accelerators: step.Required.Accelerators,
 		Priority: int32(j.Priority), MaxPerWorker: uint32(step.MaxPerWorker), BestEffort: j.BestEffort, EstimatedMs: int64(step.EstimatedRunTime),
+		Kind: string(j.Route),
 	}
 }
 
--- a/internal/sidecarnode/joblines.go
+++ b/internal/sidecarnode/joblines.go
@@ -55,6 +55,15 @@
 	}
 }
 
+func (p *Process) recordInterference(c executor.InterferenceChanged) {
+	p.deps.Metrics.countInterference(c.Detected)
+	message := "interference forgotten"
+	if c.Detected {
+		message = "interference detected"
+	}
+	p.deps.Log.Info(message, zap.String("slowed", string(c.Pair.Slowed)), zap.String("by", string(c.Pair.By)), zap.Int("percent", int(c.Factor)))
+}
+
 func entryField(id ownership.Incarnation) zap.Field { return zap.String("entry", string(id)) }
 
 func runField(id batch.RunID) zap.Field {
--- a/internal/sidecarnode/metrics.go
+++ b/internal/sidecarnode/metrics.go
@@ -13,6 +13,7 @@
 	stops    *prometheus.CounterVec
 	ends     *prometheus.CounterVec
 	refusals *prometheus.CounterVec
+	pairs    *prometheus.CounterVec
 }
 
 // NewMetrics creates and registers the metrics.
@@ -31,7 +32,10 @@
 			Name: "teaseltide_executor_refusals_total", Help: "Orders of runs that were refused, by reason.",
 		}, []string{"reason"}),
 	}
-	r.MustRegister(m.starts, m.stops, m.ends, m.refusals)
+	m.pairs = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "teaseltide_executor_interference_changes_total", Help: "Pairs of kinds that slow each other down, by change.",
+	}, []string{"change"})
+	r.MustRegister(m.starts, m.stops, m.ends, m.refusals, m.pairs)
 	return m
 }
 
@@ -58,3 +62,14 @@
 		m.refusals.WithLabelValues(string(reason)).Inc()
 	}
 }
+
+func (m *Metrics) countInterference(detected bool) {
+	if m == nil {
+		return
+	}
+	change := "forgotten"
+	if detected {
+		change = "detected"
+	}
+	m.pairs.WithLabelValues(change).Inc()
+}
--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -219,6 +219,8 @@
 		p.send(c.Entry, wire.Wrap(c.Report))
 	case executor.LeaseExpiring:
 		p.deps.Log.Warn("lease left to lapse", zap.String("entry", string(c.Entry)), zap.Int64("granted-until-ms", int64(c.GrantEndedAt)), runField(c.Run))
+	case executor.InterferenceChanged:
+		p.recordInterference(c)
 	case executor.WorkerReplaced:
 		p.deps.Log.Warn("worker replaced", zap.String("worker", c.Worker.ID), zap.Int64("born-ms", c.Worker.Incarnation), zap.Int("runs", c.Runs))
 	}
