platform, executor, scheduler: Cold and draining workers

A report's warmup_left_ms and remaining_ms reach the entries with the load; odd values count as absent. A cold worker counts with half of its capacity, rising during the warm-up, in admission, crowding, run times and placement; tasks of the highest priority go to warm workers that have room in time. Its runs do not count in the learned speed.

The sidecar stops the runs that cannot end before their draining worker, as projected from their progress or the declared time.

--- a/internal/executor/commands.go
+++ b/internal/executor/commands.go
@@ -64,6 +64,8 @@
 	StopOwnerDeposed StopReason = "owner-deposed"
 	// StopSuperseded means that a later attempt of the task is known here.
 	StopSuperseded StopReason = "superseded"
+	// StopWorkerLeaves means that the run cannot end before its draining worker does.
+	StopWorkerLeaves StopReason = "worker-leaves"
 )
 
 // RunEnded reports that a run has ended. It asks for no action.
--- a/internal/executor/entries.go
+++ b/internal/executor/entries.go
@@ -395,6 +395,7 @@
 		e.inventoryDue = false
 	}
 	report.GetLoad().Slowdowns = x.slowdowns(now)
+	x.addLifecycle(now, report.GetLoad())
 	e.events, e.urgent = nil, false
 	e.sentAt = now
 	e.sentLoadVersion = x.loadVersion
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -192,6 +192,10 @@
 	Capacity batch.Resources `json:"capacity"`
 	Labels   []string        `json:"labels"`
 	Draining bool            `json:"draining"`
+	// WarmupLeft is how much longer the worker stays slow after its start, 0 for a warm one.
+	WarmupLeft clock.Millis `json:"-"`
+	// Remaining is the shortest time after which a draining worker ends, 0 if unknown.
+	Remaining clock.Millis `json:"-"`
 }
 
 // entry is the state of an entry and of the session with it.
@@ -304,6 +308,7 @@
 	commands        []Command
 	nextSweepAt     clock.Millis
 	observations    observations
+	lifecycle       lifecycle
 }
 
 // attempt is the highest attempt of a task that was ordered here.
@@ -335,6 +340,7 @@
 func (x *Executor) Tick(now clock.Millis) []Command {
 	x.checkGrants(now)
 	x.checkProgress(now)
+	x.stopBeforeDeparture(now)
 	x.repeatStops(now)
 	x.startQueued(now)
 	x.returnQueued(now)
@@ -434,6 +440,7 @@
 		r.phase = starting
 		r.orderedAt = now
 		r.startedAt = now
+		r.cold = x.isCold(now)
 		r.lastProgressAt = now
 		r.token = x.token
 		r.workerIncarnation = x.worker.Incarnation
--- a/internal/executor/worker.go
+++ b/internal/executor/worker.go
@@ -155,6 +155,7 @@
 		x.commands = append(x.commands, PersistWorker{Worker: w})
 	}
 	x.worker = w
+	x.updateLifecycle(now, &w)
 }
 
 // WorkerRestored handles the description of the worker that an earlier sidecar
@@ -191,6 +192,7 @@
 	x.leaseUntil = 0
 	x.openRenewals = nil
 	x.leaseExpiredBy = 0
+	x.lifecycle = lifecycle{}
 	if x.worker.Incarnation != 0 {
 		// Calls to the previous incarnation may still be executed by this one, which
 		// has seen no token. After a listing under a higher one they have no effect.
--- a/internal/interference/interference.go
+++ b/internal/interference/interference.go
@@ -199,6 +199,17 @@
 	return max(1, min(maxWindow, declared))
 }
 
+// UsualRatio returns the usual ratio of actual to declared run time of a kind on this
+// worker, 1 as long as it is not known.
+func (l *Learner) UsualRatio(kind Kind) float64 {
+	for i := range l.kinds {
+		if k := &l.kinds[i]; k.kind == kind && kind != "" && k.fit.observed > 0 {
+			return math.Exp(k.fit.mean)
+		}
+	}
+	return 1
+}
+
 // others returns the sum of the deviations of the ended runs of the other kinds and their
 // number.
 func (l *Learner) others(slot int) (deviations, ended float64) {
--- a/internal/scheduler/nodes.go
+++ b/internal/scheduler/nodes.go
@@ -100,6 +100,7 @@
 	pool        *pool
 	poolService string
 	health
+	warmup
 }
 
 // unacknowledgedStart is a start that the sidecar's reported load does not
@@ -150,7 +151,7 @@
 // throughput returns the declared work in millicores times ms that a CPU share of
 // the worker, in millicores, does in a ms.
 func (n *node) throughput(cpu int64) float64 {
-	return float64(cpu) / max(n.slowness, minSlowness)
+	return float64(cpu) / max(n.currentSlowness(), minSlowness)
 }
 
 // SidecarConnected handles a new session with the sidecar at an address in a
@@ -251,6 +252,7 @@
 	}
 	n.load = r.GetLoad()
 	n.grantsJobLeases = r.GetGrantsJobLeases()
+	n.updateWarmup(s.now, clock.Millis(n.load.GetWarmupLeftMs()))
 	n.capacity = batch.Resources{CPU: n.load.GetCpu(), MemoryMB: n.load.GetMemoryMb(), Accelerators: n.load.GetAccelerators()}
 	n.free = batch.Resources{CPU: n.load.GetFreeCpu(), MemoryMB: n.load.GetFreeMemoryMb(), Accelerators: n.load.GetFreeAccelerators()}
 	n.unacknowledgedStarts = slices.DeleteFunc(n.unacknowledgedStarts, func(u unacknowledgedStart) bool { return u.sequence <= r.GetReceived() })
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -109,7 +109,7 @@
 		if t.hadTroubleOn(n) && s.hasAlternative(j, t, n) {
 			continue
 		}
-		cost := s.noisyCost(n, step)*n.interference(j.Route) + s.separationCost(t, n)
+		cost := s.noisyCost(n, step)*n.interference(j.Route) + s.separationCost(t, n) + s.coldCost(j, n)
 		if best == nil || cost < bestCost {
 			best, bestCost = n, cost
 		}
@@ -134,7 +134,7 @@
 
 // expectedRunTime returns the expected run time of a task of a step in ms.
 func (n *node) expectedRunTime(step *batch.Step) float64 {
-	run := float64(step.EstimatedRunTime) * n.slowness
+	run := float64(step.EstimatedRunTime) * n.currentSlowness()
 	if step.DataRack != "" && !slices.Contains(n.load.GetLabels(), step.DataRack) {
 		run *= remoteRackFactor
 	}
@@ -159,7 +159,7 @@
 	if n.capacity.CPU <= 0 {
 		return 0
 	}
-	return 1 - float64(n.free.CPU)/float64(n.capacity.CPU)
+	return (1 - float64(n.free.CPU)/float64(n.capacity.CPU)) / n.share()
 }
 
 // hadTroubleOn reports whether a worker failed the task or crashed under it. A worker that
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -82,7 +82,7 @@
 	}
 	for _, n := range s.nodeList {
 		if !s.takesTasks(now, n) {
-			if n.lastService != "" && now-n.lastServiceAt < awayGracePeriod {
+			if n.lastService != "" && now-n.lastServiceAt < awayGracePeriod && !n.isLeaving() {
 				s.pool(n.lastService).away += n.throughput(n.lastServiceCPU)
 			}
 		} else {
@@ -135,8 +135,8 @@
 func (s *Scheduler) fastestSlowness(service string) float64 {
 	fastest := 0.0
 	for _, n := range s.nodeList {
-		if n.connected && n.load.GetReady() && !n.ejected && n.load.GetService() == service && (fastest == 0 || n.slowness < fastest) {
-			fastest = n.slowness
+		if n.connected && n.load.GetReady() && !n.ejected && n.load.GetService() == service && (fastest == 0 || n.currentSlowness() < fastest) {
+			fastest = n.currentSlowness()
 		}
 	}
 	if fastest == 0 {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -11,6 +11,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
@@ -124,7 +125,9 @@
 	// lastExpectedWait is the wait that was estimated last, for log lines.
 	lastExpectedWait clock.Millis
 	// now is the time of the tick or event that is being handled.
-	now             clock.Millis
+	now clock.Millis
+	// highestPriority is the highest priority of the jobs that were placed, the lowest number.
+	highestPriority int
 	counters        Counters
 	pendingCommands []Command
 }
@@ -168,6 +171,7 @@
 		patience:            make(map[batch.Route]patience),
 		suspects:            suspects{nodes: make(map[Address]bool)},
 		entryCount:          1,
+		highestPriority:     math.MaxInt,
 	}
 }
 
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -331,7 +331,9 @@
 		return
 	}
 	if t.state == taskBound {
-		n.observeRunTime(now, j.Steps[t.step].EstimatedRunTime, took)
+		if n.countsForSpeed(now, took) {
+			n.observeRunTime(now, j.Steps[t.step].EstimatedRunTime, took)
+		}
 		n.recordSuccess()
 		if owner := s.nodes[t.node]; owner != nil {
 			delete(owner.runs, id.TaskID)
