--- a/internal/loadtest/fleet_test.go
+++ b/internal/loadtest/fleet_test.go
@@ -55,6 +55,7 @@
 	// failing is true for a worker whose runs all fail.
 	failing bool
 	domain  ownership.Domain
+	lifecycle
 }
 
 // workload describes a fleet and the jobs submitted to it.
@@ -153,6 +154,8 @@
 	submitHook func(s *submission, tasks []float64)
 	// pairsChanged counts the changes of the interference that sidecars detected.
 	pairsChanged int
+	// lostWork is the run time so far, in ms, of the runs that workers lost as they left.
+	lostWork clock.Millis
 }
 
 // entry is a simulated entry with its pending requests. dirty is true if its core
@@ -239,6 +242,7 @@
 		c.core.EntryConnected(id)
 		f.entries[j].core.SidecarConnected(c.address, c.spec.domain, c.id)
 	}
+	f.scheduleLifecycle(c)
 	f.every(sidecarTick, func() { c.dirty = true })
 	f.listRuns(c)
 }
@@ -478,7 +482,7 @@
 func (f *fleet) startRun(c *sidecar, s executor.StartRun) {
 	f.started[s.Run.Job] = true
 	work, _ := strconv.Atoi(strings.Fields(s.Spec)[s.Run.Index])
-	took := clock.Millis(max(1, float64(work)/c.spec.speed))
+	took := clock.Millis(max(1, float64(work)/c.spec.speed*c.spec.coldFactor(f.now-f.arrivalsStart)))
 	end := batch.OutcomeDone
 	if c.spec.failing {
 		took, end = 1, batch.OutcomeFailed
