--- a/internal/executor/commands.go
+++ b/internal/executor/commands.go
@@ -67,6 +67,8 @@
 	// StopLateStart means that the worker executed a start that had been resolved as not
 	// started.
 	StopLateStart StopReason = "late-start"
+	// StopWorkerLeaves means that the run cannot end before its draining worker does.
+	StopWorkerLeaves StopReason = "worker-leaves"
 )
 
 // RunEnded reports that a run has ended. It asks for no action.
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -10,6 +10,7 @@
 import (
 	"github.com/teaseltide/teaseltide/internal/batch"
 	"github.com/teaseltide/teaseltide/internal/evacuation"
+	"github.com/teaseltide/teaseltide/internal/interference"
 	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/wire"
 	"github.com/teaseltide/teaseltide/pkg/clock"
@@ -108,6 +109,10 @@
 	Capacity batch.Resources `json:"capacity"`
 	Labels   []string        `json:"labels"`
 	Draining bool            `json:"draining"`
+	// WarmupLeft is how much longer the worker stays slow after its start, 0 for a warm one.
+	WarmupLeft clock.Millis `json:"-"`
+	// Remaining is the shortest time after which a draining worker ends, 0 if unknown.
+	Remaining clock.Millis `json:"-"`
 }
 
 // entry is the state of an entry and of the session with it.
@@ -234,6 +239,8 @@
 	draining        bool
 	commands        []Command
 	nextSweepAt     clock.Millis
+	observations    observations
+	lifecycle       lifecycle
 }
 
 // New returns an Executor. token should be higher than those of earlier sidecars
@@ -252,6 +259,8 @@
 		entries:     make(map[ownership.Incarnation]*entry),
 		jobLeases:   make(map[batch.JobID]jobLease),
 		successors:  make(ownership.Successors),
+
+		observations: observations{learner: interference.New()},
 	}
 }
 
@@ -261,9 +270,11 @@
 	x.markLapsed(now)
 	x.checkGrants(now)
 	x.checkProgress(now)
+	x.stopBeforeDeparture(now)
 	x.repeatStops(now)
 	x.startQueued(now)
 	x.returnQueued(now)
+	x.observeRuns(now)
 	x.offerCapacity(now)
 	x.advanceCursor()
 	x.sendReports(now)
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/teaseltide/teaseltide/internal/batch"
+	"github.com/teaseltide/teaseltide/internal/interference"
 	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/pkg/clock"
 )
@@ -34,9 +35,14 @@
 	priority      int
 	maxPerWorker  int
 	estimatedTime clock.Millis
-	phase         phase
-	stopping      bool
-	stopReason    StopReason
+	kind          interference.Kind
+	// observed is true once the learner of interference knows the run.
+	observed bool
+	// cold is true if the run started before the worker had warmed up.
+	cold       bool
+	phase      phase
+	stopping   bool
+	stopReason StopReason
 	// stopSentAt is when the worker was last asked to stop the run.
 	stopSentAt clock.Millis
 	// stopOrderedAt is when an entry ordered the stop, 0 for a run that is not
--- a/internal/executor/starts.go
+++ b/internal/executor/starts.go
@@ -55,6 +55,7 @@
 		r.phase = starting
 		r.orderedAt = now
 		r.startedAt = now
+		r.cold = x.isCold(now)
 		r.lastProgressAt = now
 		r.token = x.token
 		r.workerIncarnation = x.worker.Incarnation
--- a/internal/loadtest/fleet_test.go
+++ b/internal/loadtest/fleet_test.go
@@ -60,6 +60,7 @@
 	domain  ownership.Domain
 	// rack is a label of the worker; empty for none.
 	rack string
+	lifecycle
 }
 
 // workload describes a fleet and the jobs submitted to it.
@@ -87,6 +88,11 @@
 	// every resubmitDelay.
 	outage clock.Millis
 	contention
+	// slowdown returns the factor by which a run of a kind is slowed down by the active
+	// runs, given by their number per kind; nil if there is no interference.
+	slowdown func(kind string, active map[string]int) float64
+	// hidesSlowdowns is true if the sidecars' reports don't tell the entries of it.
+	hidesSlowdowns bool
 }
 
 // resubmitDelay is the time after which a caller without an answer resubmits.
@@ -157,6 +163,10 @@
 	arrivalsStart, arrivalsEnd clock.Millis
 	// submitHook, if not nil, receives the jobs instead of the entries.
 	submitHook func(s *submission, tasks []float64)
+	// pairsChanged counts the changes of the interference that sidecars detected.
+	pairsChanged int
+	// lostWork is the run time so far, in ms, of the runs that workers lost as they left.
+	lostWork clock.Millis
 }
 
 // entry is a simulated entry with its pending requests. dirty is true if its core
@@ -200,6 +210,7 @@
 	run       batch.RunID
 	startedAt clock.Millis
 	endsAt    clock.Millis
+	progress
 }
 
 func newFleet(p workload) *fleet {
@@ -248,6 +259,7 @@
 		c.core.EntryConnected(id)
 		f.entries[j].core.SidecarConnected(c.address, c.spec.domain, c.id)
 	}
+	f.scheduleLifecycle(c)
 	f.every(sidecarTick, func() { c.dirty = true })
 	f.listRuns(c)
 }
@@ -478,8 +490,13 @@
 				f.endRun(c, r, batch.OutcomeStopped)
 			}
 		})
+	case executor.InterferenceChanged:
+		f.pairsChanged++
 	case executor.Report:
 		f.countMessage()
+		if f.hidesSlowdowns {
+			command.Report.GetLoad().Slowdowns = nil
+		}
 		for _, e := range f.entries {
 			if e.id == command.Entry {
 				f.after(linkDelay, func() {
@@ -509,18 +526,23 @@
 func (f *fleet) startRun(c *sidecar, s executor.StartRun) {
 	f.started[s.Run.Job] = true
 	work, _ := strconv.Atoi(strings.Fields(s.Spec)[s.Run.Index])
-	took := clock.Millis(max(1, float64(work)/c.spec.speed*f.rackFactor(c, s.Run.Job)))
+	took := clock.Millis(max(1, float64(work)/c.spec.speed*f.rackFactor(c, s.Run.Job)*c.spec.coldFactor(f.now-f.arrivalsStart)))
 	end := batch.OutcomeDone
 	if c.spec.failing {
 		took, end = 1, batch.OutcomeFailed
 	}
 	r := &workerRun{run: s.Run, startedAt: f.now, endsAt: f.now + took}
 	c.running[s.Run.TaskID] = r
-	f.after(took, func() {
-		if c.running[s.Run.TaskID] == r {
-			f.endRun(c, r, end)
-		}
-	})
+	if f.slowdown != nil {
+		r.work = float64(took)
+		f.updateProgress(c)
+	} else {
+		f.after(took, func() {
+			if c.running[s.Run.TaskID] == r {
+				f.endRun(c, r, end)
+			}
+		})
+	}
 	f.after(callDelay, func() {
 		c.core.StartAnswered(f.now, s.Run, s.Token, executor.StartAccepted)
 		c.dirty = true
@@ -529,6 +551,9 @@
 
 func (f *fleet) endRun(c *sidecar, r *workerRun, end batch.Outcome) {
 	delete(c.running, r.run.TaskID)
+	if f.slowdown != nil {
+		f.updateProgress(c)
+	}
 	c.lastSequence++
 	c.ended = append(c.ended, executor.ListedEnd{Sequence: c.lastSequence, Run: r.run, End: end})
 	if c.pendingList != nil {
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -32,7 +32,7 @@
 		if !permitted {
 			continue
 		}
-		cost := q.s.noisyCost(n, q.step) + q.s.separationCost(q.task, n)
+		cost := q.s.noisyCost(n, q.step)*n.interference(q.job.Route) + q.s.separationCost(q.task, n) + q.s.coldCost(q.job, n)
 		if avoided {
 			cost += avoidedCost
 		}
@@ -60,7 +60,7 @@
 
 // expectedRunTime returns the expected run time of a task of a step in ms.
 func (n *node) expectedRunTime(step *batch.Step) float64 {
-	return float64(step.EstimatedRunTime) * n.slowness * n.rackFactor(step)
+	return float64(step.EstimatedRunTime) * n.currentSlowness() * n.rackFactor(step)
 }
 
 // finishesInTime reports whether a task of a step that starts now is expected to
@@ -81,7 +81,7 @@
 	if n.capacity.CPU <= 0 {
 		return 0
 	}
-	return 1 - float64(n.free.CPU)/float64(n.capacity.CPU)
+	return (1 - float64(n.free.CPU)/float64(n.capacity.CPU)) / n.share()
 }
 
 // boundTasks returns the number of a step's tasks that are bound to a worker.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -11,6 +11,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
@@ -134,7 +135,9 @@
 	// lastExpectedWait is the wait that was estimated last, for log lines.
 	lastExpectedWait clock.Millis
 	// now is the time of the tick or event that is being handled.
-	now             clock.Millis
+	now clock.Millis
+	// highestPriority is the highest priority of the jobs that were placed, the lowest number.
+	highestPriority int
 	counters        Counters
 	pendingCommands []Command
 }
@@ -185,6 +188,7 @@
 		suspects:            suspects{nodes: make(map[Address]bool), room: make(map[string]int)},
 		entryCount:          1,
 		pass:                placementPass{classes: make(map[classKey]*placementClass)},
+		highestPriority:     math.MaxInt,
 	}
 }
 
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -133,6 +133,7 @@
 	return &wire.TaskStart{
 		Run: j.runID(t).Wire(), Spec: spec, Cpu: step.Required.CPU, MemoryMb: step.Required.MemoryMB, Accelerators: step.Required.Accelerators,
 		Priority: int32(j.Priority), MaxPerWorker: uint32(step.MaxPerWorker), BestEffort: j.BestEffort, EstimatedMs: int64(step.EstimatedRunTime),
+		Kind: string(j.Route),
 	}
 }
 
@@ -358,8 +359,10 @@
 		return
 	}
 	if t.state == taskBound {
-		step := &j.Steps[t.step]
-		n.observeRunTime(now, clock.Millis(float64(step.EstimatedRunTime)*n.rackFactor(step)), clock.Millis(e.GetRunMs()))
+		if took := clock.Millis(e.GetRunMs()); n.countsForSpeed(now, took) {
+			step := &j.Steps[t.step]
+			n.observeRunTime(now, clock.Millis(float64(step.EstimatedRunTime)*n.rackFactor(step)), took)
+		}
 		n.recordSuccess()
 		if owner := s.nodes[t.node]; owner != nil {
 			delete(owner.runs, id.TaskID)
--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -253,6 +253,8 @@
 		p.deps.Log.Warn("lease left to lapse", zap.String("entry", string(c.Entry)), zap.Int64("granted-until-ms", int64(c.GrantEndedAt)), runField(c.Run))
 	case executor.ReadingEnds:
 		p.deps.Log.Info("ends of the worker unread", zap.Bool("unread", c.Unread))
+	case executor.InterferenceChanged:
+		p.recordInterference(c)
 	case executor.WorkerReplaced:
 		p.deps.Log.Warn("worker replaced", zap.String("worker", c.Worker.ID), zap.Int64("born-ms", c.Worker.Incarnation), zap.Int("runs", c.Runs))
 	}
