--- a/Makefile
+++ b/Makefile
@@ -143,13 +143,13 @@
 # Plays the load profiles of internal/loadtest, without a network, on a committed
 # version (BASE) and on the working copy, and prints the paired differences with their
 # 95% intervals. BASE must have the profiles itself. One seed takes about 40 s of
-# processor time per version. Figures are kept in $(BIN)/load-*.txt.
+# processor time per version; PROFILES selects some, separated by commas. Figures are kept in $(BIN)/load-*.txt.
 BASE ?= HEAD
 SEEDS ?= 5
 load-compare:
 	mkdir -p $(BIN)
 	git worktree add --force --detach $(BIN)/load-base $(BASE)
-	cd $(BIN)/load-base && $(GO) test ./internal/loadtest -count=1 -timeout 60m -run '^TestLoadProfiles$$' -figures $(CURDIR)/$(BIN)/load-before.txt -profile-seeds $(SEEDS); \
+	cd $(BIN)/load-base && $(GO) test ./internal/loadtest -count=1 -timeout 60m -run '^TestLoadProfiles$$' -figures $(CURDIR)/$(BIN)/load-before.txt -profile-seeds $(SEEDS) -profiles "$(PROFILES)"; \
 		code=$$?; cd $(CURDIR) && git worktree remove --force $(BIN)/load-base; exit $$code
-	$(GO) test ./internal/loadtest -count=1 -timeout 60m -run '^TestLoadProfiles$$' -figures $(CURDIR)/$(BIN)/load-after.txt -profile-seeds $(SEEDS)
+	$(GO) test ./internal/loadtest -count=1 -timeout 60m -run '^TestLoadProfiles$$' -figures $(CURDIR)/$(BIN)/load-after.txt -profile-seeds $(SEEDS) -profiles "$(PROFILES)"
 	$(GO) run ./internal/loadtest/compare $(BIN)/load-before.txt $(BIN)/load-after.txt
