proptest: Schedules with uneven fleets, three owners, full lists and refused VMs

They now have workers of which one alone fits, jobs that fit nowhere any more, kills of the owners of jobs in a row, crashes of the workers under one task, lists of over 500 ends (the model lists 500 as the workers do), and a store that turns away single entries and sidecars. They also check that an attempt names one run, and that crashes fail no stored job at all (that check excused schedules with three killed workers).

--- a/internal/proptest/besteffort_test.go
+++ b/internal/proptest/besteffort_test.go
@@ -30,6 +30,8 @@
 	coreResubmitTime = 1300 * clock.Millis(1)
 	corePatience     = 3 * clock.Second
 	coreFaultTime    = 5 * clock.Second
+	// coreMaxListedEnds is the number of ends that a worker lists, oldest first.
+	coreMaxListedEnds = 500
 )
 
 // cores holds the schedulers of entries, the executors of sidecars, modelled workers and
@@ -50,6 +52,11 @@
 	// each other, isolatedUntil the same for an entry and the sidecars.
 	callersCutUntil, isolatedUntil [coreEntries]clock.Millis
 	violations                     []string
+	// fleet describes the workers and the store of the schedule; refusedUntil is until when
+	// the store turns the VM of an entry away, sidecarRefusedUntil that of a sidecar.
+	fleet               unevenFleet
+	refusedUntil        [coreEntries]clock.Millis
+	sidecarRefusedUntil [coreWorkers]clock.Millis
 	// stored is the store with the stored jobs, nil without them.
 	stored *storedCores
 	// log holds what happened to tasks and processes, for violations.
@@ -384,7 +391,7 @@
 	x.w, x.name, x.alive = w, x.id, true
 	w.logf("%s starts", x.id)
 	w.sidecars[i] = x
-	w.after(10, func() { x.do(func() { x.core.FencesLoaded(w.now, w.marks()) }) })
+	w.after(max(10, w.sidecarRefusedUntil[i]-w.now), func() { x.do(func() { x.core.FencesLoaded(w.now, w.marks()) }) })
 	var tick, list, report func()
 	tick = func() {
 		if x.alive {
@@ -409,6 +416,7 @@
 				ID: fmt.Sprint("w", i), Incarnation: w.workers[i].born, Sequence: x.reports, Service: "s",
 				Capacity: batch.Resources{CPU: coreWorkerCPU, MemoryMB: 1000},
 			}
+			w.fleet.describe(w.now, i, &r)
 			x.do(func() { x.core.WorkerReported(w.now, r) })
 			w.after(300, report)
 		}
@@ -637,13 +645,26 @@
 		fails = w.stored.fails(c.Run)
 	}
 	w.logf("start %v %d at w%d, lease %d", c.Run.TaskID, c.Run.Attempt, i, k.lease-1_000_000)
-	k.runs[c.Run.TaskID] = coreRun{c.Run, w.now + clock.Millis(40+w.rng.IntN(900)+w.rng.IntN(2)*w.rng.IntN(1400)), fails}
-	if len(k.runs)*coreTaskCPU > coreWorkerCPU {
-		w.violate("capacity: %d runs at w%d", len(k.runs), i)
+	k.runs[c.Run.TaskID] = coreRun{c.Run, w.now + w.fleet.addedRunTime() + clock.Millis(40+w.rng.IntN(900)+w.rng.IntN(2)*w.rng.IntN(1400)), fails}
+	if used := w.usedCPU(k); used > coreWorkerCPU {
+		w.violate("capacity: %d runs with %d of CPU at w%d", len(k.runs), used, i)
 	}
 	return executor.StartAccepted
 }
 
+// usedCPU returns the CPU that the runs of a worker require.
+func (w *cores) usedCPU(k *coreWorker) int64 {
+	var used int64
+	for id := range k.runs {
+		if w.stored == nil {
+			used += coreTaskCPU
+		} else {
+			used += w.stored.jobs[id.Job].Steps[id.Step].Required.CPU
+		}
+	}
+	return used
+}
+
 func (w *cores) stop(i int, c executor.StopRun) {
 	k := w.workers[i]
 	if !k.accept(w.now, c.Token, 0) {
@@ -671,7 +692,7 @@
 		}
 	}
 	k.ends = kept
-	l.Ended = kept
+	l.Ended = kept[:min(len(kept), coreMaxListedEnds)]
 	for _, run := range k.sorted() {
 		l.Running = append(l.Running, executor.ListedRun{Run: run.id, Percent: int(w.now % 100)})
 	}
@@ -816,6 +837,8 @@
 		w.logf("%s slot %d until %d", f.Kind, slot, w.callersCutUntil[slot]-1_000_000)
 	case "kill-worker":
 		w.startWorker(f.Target % coreWorkers)
+	case "kill-owner", "crash-task", "refuse-entry", "refuse-sidecar", "fill-ends":
+		w.injectUneven(f)
 	case "close":
 		if s := w.sessions[[2]int{f.Target % coreEntries, f.Length % coreWorkers}]; s != nil && !s.closed {
 			s.close()
--- a/internal/proptest/stored_test.go
+++ b/internal/proptest/stored_test.go
@@ -43,9 +43,8 @@
 	leases   map[ownership.Incarnation]clock.Millis
 	jobs     map[batch.JobID]*storedJob
 	// seen is the state that each entry's watches delivered last.
-	seen        map[ownership.Incarnation]string
-	slowUntil   clock.Millis
-	workerKills int
+	seen      map[ownership.Incarnation]string
+	slowUntil clock.Millis
 }
 
 type openRecord struct {
@@ -57,22 +56,27 @@
 type storedJob struct {
 	batch.Job
 	accepted, notRun, unknown bool
-	requests                  int
-	cancelRequested           bool
-	cancelledAt               clock.Millis
+	// fitsNowhere is true if no worker can hold a task of the job any more.
+	fitsNowhere     bool
+	requests        int
+	cancelRequested bool
+	cancelledAt     clock.Millis
 	// plannedFailures is the number of each task's first runs that fail.
 	plannedFailures map[batch.TaskID]int
 	// runs is the number of each task's starts, failing that of the ones that fail.
 	runs, failing map[batch.TaskID]int
 	acknowledged  map[batch.TaskID]ackedEnds
+	// started holds the runs that have started. An attempt names one run.
+	started map[batch.RunID]bool
 }
 
 // ackedEnds counts the ends of a task's runs that were acknowledged to workers.
 type ackedEnds struct{ done, failed int }
 
-func newStoredCores(seed uint64) *cores {
+func newStoredCores(seed uint64, fleet unevenFleet) *cores {
 	w := &cores{
-		rng: rand.New(rand.NewPCG(seed, 3)), now: 1_000_000,
+		fleet: fleet,
+		rng:   rand.New(rand.NewPCG(seed, 3)), now: 1_000_000,
 		sessions: make(map[[2]int]*coreSession), jobs: make(map[batch.JobID]*coreJob),
 	}
 	s := &storedCores{
@@ -284,6 +288,8 @@
 	switch {
 	case j.notRun:
 		w.violate("refused: %v starts after an answer of not run", id)
+	case j.started[id]:
+		w.violate("attempt: %v starts a second time; %s", id, w.history(id.TaskID))
 	case acked.done > 0:
 		w.violate("twice: %v starts after a run of it is acknowledged as done; %s", id, w.history(id.TaskID))
 	case acked.failed >= storedMaxFailures:
@@ -296,6 +302,7 @@
 // fails reports whether a run that starts will fail.
 func (s *storedCores) fails(id batch.RunID) bool {
 	j := s.jobs[id.Job]
+	j.started[id] = true
 	j.runs[id.TaskID]++
 	if j.runs[id.TaskID] > j.plannedFailures[id.TaskID] {
 		return false
@@ -308,6 +315,9 @@
 // expired since. Other ends do not count.
 func (s *storedCores) acknowledgeEnd(e executor.ListedEnd) {
 	j := s.jobs[e.Run.Job]
+	if j == nil {
+		return // added by fillEnds
+	}
 	s.w.logf("acknowledged %v %d %s", e.Run.TaskID, e.Run.Attempt, e.End)
 	a := j.acknowledged[e.Run.TaskID]
 	switch e.End {
@@ -327,13 +337,14 @@
 		end := s.ended[id]
 		history := s.w.history(batch.TaskID{Job: id})
 		switch {
+		case j.fitsNowhere:
 		case j.accepted && isOpen:
 			s.w.violate("lost: %s is open; %s", id, history)
 		case j.accepted && end == nil:
 			s.w.violate("lost: %s is unknown; %s", id, history)
 		case end.GetState() == wire.StoredEnd_STATE_CANCELLED && !j.cancelRequested:
 			s.w.violate("lost: %s is cancelled without cause; %s", id, history)
-		case end.GetState() == wire.StoredEnd_STATE_FAILED && !j.mayFail() && s.workerKills < 3:
+		case end.GetState() == wire.StoredEnd_STATE_FAILED && !j.mayFail():
 			s.w.violate("lost: %s is failed after %v failed runs; %s", id, j.failing, history)
 		}
 	}
@@ -354,7 +365,7 @@
 	j := &storedJob{
 		Job:             batch.Job{ID: batch.JobID(fmt.Sprint("j", number)), Service: "s", MaxFailures: storedMaxFailures, Objective: 600},
 		plannedFailures: make(map[batch.TaskID]int), runs: make(map[batch.TaskID]int), failing: make(map[batch.TaskID]int),
-		acknowledged: make(map[batch.TaskID]ackedEnds),
+		acknowledged: make(map[batch.TaskID]ackedEnds), started: make(map[batch.RunID]bool),
 	}
 	for step := range 1 + rng.IntN(2) {
 		st := batch.Step{Count: 1 + rng.IntN(2), Required: batch.Resources{CPU: coreTaskCPU, MemoryMB: 1}, EstimatedRunTime: 500}
@@ -366,6 +377,7 @@
 	if rng.IntN(3) == 0 {
 		j.plannedFailures[batch.TaskID{Job: j.ID}] = 1 + rng.IntN(storedMaxFailures+1)
 	}
+	s.w.fleet.adjust(rng, j)
 	s.jobs[j.ID] = j
 	return j
 }
@@ -377,24 +389,27 @@
 
 // runStoredCores runs stored jobs under faults and returns what was violated.
 func runStoredCores(seed uint64, faults []fault) []string {
-	w := newStoredCores(seed)
+	return runUnevenCores(seed, unevenFleet{}, faults)
+}
+
+// runUnevenCores is runStoredCores with a fleet whose workers differ.
+func runUnevenCores(seed uint64, fleet unevenFleet, faults []fault) []string {
+	w := newStoredCores(seed, fleet)
 	s := w.stored
 	for i := range 10 {
 		j := s.newJob(i)
 		w.after(clock.Millis(800+w.rng.IntN(2500)), func() { s.submit(j) })
 	}
+	fleet.addJobs(s)
 	for _, f := range faults {
 		w.after(clock.Millis(f.At), func() {
-			switch f.Kind {
-			case "slow-store":
+			if f.Kind == "slow-store" {
 				s.slowUntil = w.now + clock.Millis(f.Length)
-			case "kill-worker":
-				s.workerKills++
 			}
 			w.inject(f)
 		})
 	}
-	for end := 1_000_000 + coreFaultTime + storedSettleTime; len(w.events) > 0 && w.events[0].at <= end; {
+	for end := 1_000_000 + coreFaultTime + fleet.settleTime(); len(w.events) > 0 && w.events[0].at <= end; {
 		e := heap.Pop(&w.events).(scheduledEvent)
 		w.now = e.at
 		e.run()
--- a/internal/proptest/storedcalls_test.go
+++ b/internal/proptest/storedcalls_test.go
@@ -32,6 +32,10 @@
 			w.after(5, func() { settle(lost) })
 		}
 	}
+	if w.now < w.refusedUntil[e.slot] {
+		w.after(1, func() { settle(lost) })
+		return
+	}
 	w.after(storedCallTimeout, func() { settle(lost) })
 	delay := clock.Millis(1 + w.rng.IntN(4))
 	if w.now < s.slowUntil {
