scheduler: Spread the failures of a task on the only worker that fits

Since an ejected worker takes all tasks that no other one could take, a stored task used up its failures there within milliseconds while the worker failed everything. It now waits for 1 s after each, still within the 3 s after which a task must start.

--- a/internal/scheduler/alternatives.go
+++ b/internal/scheduler/alternatives.go
@@ -120,3 +120,15 @@
 func (s *Scheduler) takesAvoided(now clock.Millis, j *job) bool {
 	return !j.BestEffort && now-j.waitingSince >= maxAvoidanceWait && s.pool(j.Service).utilization() < avoidanceUtilization
 }
+
+// delayAfterFailure puts off the next run of a stored task that failed on an ejected worker,
+// if no other one could take it: the worker fails everything at the moment, and the task
+// would use up its failures there at once.
+func (s *Scheduler) delayAfterFailure(now clock.Millis, n *node, j *job, t *task) {
+	if !n.ejected || j.BestEffort {
+		return
+	}
+	if q := s.newSearch(now, j, t); !q.hasOtherWorker() {
+		t.notBefore = max(t.notBefore, now+minProbeInterval)
+	}
+}
--- a/internal/scheduler/alternatives_test.go
+++ b/internal/scheduler/alternatives_test.go
@@ -154,3 +154,29 @@
 		t.Errorf("wait for the other worker: got %d ms, want at least %d", got, least)
 	}
 }
+
+// A stored task used up its failures within milliseconds on the only worker that fits while
+// that one failed everything, although it is ejected for that.
+func TestFailuresOnTheOnlyWorkerAreSpread(t *testing.T) {
+	b := newTestbed(t, 4)
+	accelerated := map[scheduler.Address]bool{address(0): true}
+	b.eject(accelerated)
+	b.reportLoads(accelerated, nil)
+	b.submit(acceleratorJob("j"))
+	b.acknowledgeSaves()
+	b.tick()
+	began := b.now
+	starts := 0
+	for b.now-began < 2500 {
+		for _, s := range b.starts() {
+			starts++
+			b.report(s.at, event(s.run, wire.TaskEvent_STATE_FAILED))
+		}
+		b.reportLoads(accelerated, nil)
+		b.acknowledgeSaves()
+		b.tick()
+	}
+	if starts != 3 {
+		t.Errorf("starts in 2.5 s on an ejected worker: got %d, want 3", starts)
+	}
+}
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -382,6 +382,7 @@
 		s.counters.Failures++
 		s.pendingCommands = append(s.pendingCommands, Decision{Summary: "run failed", Job: j.ID, Run: id, Sidecar: n.address, Value: int64(t.failures)})
 		s.recordFailure(now, n, t)
+		s.delayAfterFailure(now, n, j, t)
 	}
 	s.recordUnstoredEnd(now, n, j, id)
 	if t.isBoundTo(n, id) {
