--- a/internal/proptest/fulllists_test.go
+++ b/internal/proptest/fulllists_test.go
@@ -16,7 +16,7 @@
 func TestFullListSchedules(t *testing.T) {
 	kinds := append([]string{"kill-sidecar", "kill-sidecar", "kill-sidecar", "turn-away", "cut-entry"}, storedFaultKinds...)
 	for number := range uint64(fullListSchedules) {
-		w := newStoredCores(number, 1+int(number%4), 6)
+		w := newStoredCores(number, 1+int(number%4), 6, unevenFleet{})
 		for _, v := range runStored(w, numberedSchedule(number, 31, kinds, 500)) {
 			t.Errorf("schedule %d: %s", number, v)
 		}
