sidecarnode: Wait for the answer to a start by the worker's answer times

A start without an answer was given up after 40 ms. With the listing that resolves it and the start on another worker, the tasks of short jobs (objective 142 ms, eight tasks) were late whenever one answer was lost: with 4% of the answers lost, three in ten such jobs. The timeout now follows the answer times of the worker, from 12 to 40 ms, and doubles while answers are missing.

--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -79,11 +79,6 @@
 	// tickInterval is the time between two ticks without an event, which bounds
 	// how late a silent entry or a stalled run is noticed.
 	tickInterval = 20 * time.Millisecond
-	// startTimeout bounds the wait for the answer to a start. Workers answer
-	// within milliseconds. A start without an answer, even a merely slow one, is
-	// resolved by a listing under a higher token. The objective of the shortest
-	// jobs leaves 100 ms for both and for a start on another worker.
-	startTimeout = 40 * time.Millisecond
 	// stopTimeout bounds the wait for the answer to a stop. The core repeats a stop
 	// after 150 ms, so at most one call for a run is in flight.
 	stopTimeout = 140 * time.Millisecond
@@ -149,6 +144,8 @@
 	// lateStartsUntil is until when the worker may execute a start without an answer, in
 	// Unix ms.
 	lateStartsUntil atomic.Int64
+	// startTimeout bounds the wait for the answer to a start.
+	startTimeout startTimeout
 	// storeRecovery wakes the calls to the store that wait for a retry.
 	storeRecovery *platform.Recovery
 	// workerUpdates holds the newest worker record that has yet to be stored.
@@ -259,10 +256,15 @@
 }
 
 func (p *Process) startRun(c executor.StartRun) {
-	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), p.startTimeout.Current())
 	defer cancel()
+	sentAt := time.Now()
 	result := p.deps.Worker.Start(ctx, c)
+	if result == executor.StartAccepted {
+		p.startTimeout.RecordAnswer(time.Since(sentAt))
+	}
 	if result == executor.StartUnknown {
+		p.startTimeout.RecordTimeout()
 		p.lateStartsUntil.Store(int64(p.deps.Clock.Now() + lateStartPeriod))
 	}
 	if result != executor.StartAccepted {
