--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -13,16 +13,14 @@
 	// attemptReserve is the number of attempts that an owner has left when it raises the
 	// base in the job's record, so that a start seldom waits for that write.
 	attemptReserve = 100
-	// freeRefusals is the number of consecutive refusals of a task's starts after which
-	// it is placed again without delay: entries compete for room.
+	// freeRefusals is the number of consecutive refusals of a stored task's starts after
+	// which it is placed again without delay: entries compete for room.
 	freeRefusals = 3
 	// minRefusalDelay is the delay after one more refusal; it doubles with each. A worker
 	// that refuses at once was tried about a thousand times a second.
 	minRefusalDelay = 5 * clock.Millis(1)
-	// maxRefusalDelay leaves several tries in the 3 s after which a stored task must have
-	// started, maxBestEffortRefusalDelay in the objective of a short job.
-	maxRefusalDelay           = 500 * clock.Millis(1)
-	maxBestEffortRefusalDelay = 20 * clock.Millis(1)
+	// maxRefusalDelay leaves several tries in the 3 s after which a task must have started.
+	maxRefusalDelay = 500 * clock.Millis(1)
 )
 
 // highestAttempt returns the highest attempt of any run of the job, as far as known.
@@ -56,16 +54,12 @@
 	}
 }
 
-// delayAfterRefusal puts off the next start of a task whose starts are refused one after
-// the other.
-func (t *task) delayAfterRefusal(now clock.Millis, bestEffort bool) {
-	t.refusals++
-	if t.refusals <= freeRefusals {
-		return
+// delayAfterRefusal puts off the next start of a stored task whose starts are refused one
+// after the other. Those of best-effort jobs are not delayed: their attempts are not limited,
+// entries compete for room all the time under overload, and 20 ms made refusals of their
+// jobs late there (TestRefusalsAreSoonBesideSlowWorkers).
+func (t *task) delayAfterRefusal(now clock.Millis) {
+	if t.refusals++; t.refusals > freeRefusals {
+		t.notBefore = max(t.notBefore, now+min(minRefusalDelay<<min(t.refusals-freeRefusals-1, 8), maxRefusalDelay))
 	}
-	longest := maxRefusalDelay
-	if bestEffort {
-		longest = maxBestEffortRefusalDelay
-	}
-	t.notBefore = max(t.notBefore, now+min(minRefusalDelay<<min(t.refusals-freeRefusals-1, 8), longest))
 }
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -237,7 +237,9 @@
 		t.recordAttempt(batch.Attempt(e.GetHighestAttempt()))
 		if t.isBoundTo(n, id) {
 			s.counters.NotStarted++
-			t.delayAfterRefusal(now, j.BestEffort)
+			if !j.BestEffort {
+				t.delayAfterRefusal(now)
+			}
 			s.unbind(j, t)
 			s.advance(now, j)
 		}
