--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -245,7 +245,9 @@
 			if n.evacuated {
 				s.counters.StartsEvacuated++
 			}
-			t.delayAfterRefusal(now, j.BestEffort)
+			if !j.BestEffort {
+				t.delayAfterRefusal(now)
+			}
 			s.unbind(j, t)
 			s.advance(now, j)
 		}
