--- a/internal/executor/lifecycle.go
+++ b/internal/executor/lifecycle.go
@@ -27,6 +27,12 @@
 	leavesAt clock.Millis
 }
 
+// LifecycleAnnounced reports that the worker has announced a warm-up or its end, or no
+// longer does. It asks for no action.
+type LifecycleAnnounced struct{ WarmupLeft, Remaining clock.Millis }
+
+func (LifecycleAnnounced) command() {}
+
 // updateLifecycle handles the announcements in a report of the worker.
 func (x *Executor) updateLifecycle(now clock.Millis, w *Worker) {
 	next := lifecycle{}
@@ -36,8 +42,9 @@
 	if w.Draining && w.Remaining > 0 {
 		next.leavesAt = now + w.Remaining
 	}
-	if x.isCold(now) != (next.warmAt > now) || (x.lifecycle.leavesAt == 0) != (next.leavesAt == 0) {
+	if (x.lifecycle.warmAt == 0) != (next.warmAt == 0) || (x.lifecycle.leavesAt == 0) != (next.leavesAt == 0) {
 		x.loadVersion++
+		x.commands = append(x.commands, LifecycleAnnounced{WarmupLeft: w.WarmupLeft, Remaining: w.Remaining})
 	}
 	x.lifecycle = next
 }
--- a/internal/executor/lifecycle_test.go
+++ b/internal/executor/lifecycle_test.go
@@ -121,6 +121,7 @@
 // Guards against entries that don't learn that a worker is cold or about to end.
 func TestAnnouncementsAreReported(t *testing.T) {
 	h := newHarness(t)
+	announced := 0
 	load := func() *wire.WorkerLoad {
 		var last *wire.WorkerLoad
 		h.advance(200)
@@ -128,6 +129,9 @@
 			if r, ok := c.(executor.Report); ok {
 				last = r.Report.GetLoad()
 			}
+			if _, ok := c.(executor.LifecycleAnnounced); ok {
+				announced++
+			}
 		}
 		return last
 	}
@@ -143,4 +147,7 @@
 	if got := load(); got.GetRemainingMs() != 0 || !got.GetReady() {
 		t.Errorf("load after the draining was revoked: got remaining %d ms and ready %v, want 0 and true", got.GetRemainingMs(), got.GetReady())
 	}
+	if announced != 3 {
+		t.Errorf("changes of the announcement: got %d, want 3", announced)
+	}
 }
--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -219,6 +219,8 @@
 		p.send(c.Entry, wire.Wrap(c.Report))
 	case executor.LeaseExpiring:
 		p.deps.Log.Warn("lease left to lapse", zap.String("entry", string(c.Entry)), zap.Int64("granted-until-ms", int64(c.GrantEndedAt)), runField(c.Run))
+	case executor.LifecycleAnnounced:
+		p.deps.Log.Info("worker announcement changed", zap.Int64("warmup-left-ms", int64(c.WarmupLeft)), zap.Int64("remaining-ms", int64(c.Remaining)))
 	case executor.InterferenceChanged:
 		p.recordInterference(c)
 	case executor.WorkerReplaced:
