--- a/internal/interference/interference_test.go
+++ b/internal/interference/interference_test.go
@@ -140,6 +140,35 @@
 	}
 }
 
+// Runs of one kind always follow those of another. Guards against shares of time that
+// depend on the actual or declared run time of the run itself: long runs, or those with too
+// short a declared time, would seem to be slowed down by what follows them.
+func TestSharesDoNotDependOnTheRunItself(t *testing.T) {
+	l := New()
+	now := clock.Millis(1)
+	share := func(declared, took clock.Millis) float64 {
+		now += 1000
+		first := l.Start(now, "first", Group(fmt.Sprint(now)), declared, 0.1)
+		started := now
+		now += 40
+		second := l.Start(now, "second", Group(fmt.Sprint(now)), 0, 0.1)
+		l.End(started+max(took, 40), first, true)
+		now = started + 600
+		l.End(now, second, true)
+		l.advance(now + 1000)
+		return first.features[l.slot("second")]
+	}
+	for range 30 {
+		share(100, 100)
+	}
+	want := share(100, 100)
+	for _, run := range [][2]clock.Millis{{100, 40}, {100, 500}, {50, 100}, {300, 100}} {
+		if got := share(run[0], run[1]); math.Abs(got-want) > 0.1 {
+			t.Errorf("share of a run of %d ms declared as %d ms: got %.2f, want %.2f", run[1], run[0], got, want)
+		}
+	}
+}
+
 // Guards against memory that grows with the number of kinds, and against observations of a
 // replaced kind that are taken for those of its successor.
 func TestManyKinds(t *testing.T) {
