executor: Wait for the state of a domain with an unreadable key

An entry and a sidecar of an evacuated zone that restarted together while the value of the key was unreadable could start tasks there until another process told one of them of the evacuation. A new sidecar whose own domain is undetermined now waits for 2 s, in which entries open their sessions; without an answer the domain counts as not evacuated.

Without the condition in permitStarts the new test fails.

--- a/internal/evacuation/set.go
+++ b/internal/evacuation/set.go
@@ -51,7 +51,11 @@
 // matter.
 func (s *Set) HasSameDomains(other *Set) bool { return slices.Equal(s.Domains, other.Domains) }
 
-func (s *Set) isUndetermined(d ownership.Domain) bool {
+// IsUndetermined reports whether the state of a domain is not known.
+func (s *Set) IsUndetermined(d ownership.Domain) bool {
+	if s == nil {
+		return false
+	}
 	return slices.ContainsFunc(s.Undetermined, func(u Undetermined) bool { return u.Domain == d })
 }
 
@@ -106,7 +110,7 @@
 // determinedBy returns s with the state that other gives to those undetermined domains
 // for which permitted returns true; s itself if there are none.
 func (s *Set) determinedBy(other *Set, permitted func(Undetermined) bool) *Set {
-	isDetermined := func(u Undetermined) bool { return permitted(u) && !other.isUndetermined(u.Domain) }
+	isDetermined := func(u Undetermined) bool { return permitted(u) && !other.IsUndetermined(u.Domain) }
 	if !slices.ContainsFunc(s.Undetermined, isDetermined) {
 		return s
 	}
--- a/internal/executor/evacuation.go
+++ b/internal/executor/evacuation.go
@@ -4,6 +4,7 @@
 	"github.com/teaseltide/teaseltide/internal/evacuation"
 	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/wire"
+	"github.com/teaseltide/teaseltide/pkg/clock"
 )
 
 // evacuations is what a sidecar knows of the evacuated failure domains.
@@ -13,8 +14,18 @@
 	// domain is the failure domain of the worker.
 	domain ownership.Domain
 	set    *evacuation.Set
+	// knownSince is when the first set was known, 0 before.
+	knownSince clock.Millis
+	// waiting is true while another process may still tell the state of the domain.
+	waiting bool
 }
 
+// undeterminedWait is how long a new sidecar waits for another process to tell the state of
+// its failure domain, if the value in the store is not readable. Entries of the slowest VMs
+// need 0.6 s until they have opened their sessions, and an entry that has restarted too has
+// to be told first.
+const undeterminedWait = 2 * clock.Second
+
 // RequireEvacuations makes the sidecar follow the evacuations: it starts nothing before
 // it has a set, and nothing while its own failure domain is evacuated.
 func (x *Executor) RequireEvacuations(domain ownership.Domain) {
@@ -41,7 +52,22 @@
 
 // permitStarts reports whether starts are permitted as far as evacuations are concerned.
 func (e *evacuations) permitStarts() bool {
-	return !e.required || e.set != nil && !e.set.Contains(e.domain)
+	return !e.required || e.set != nil && !e.waiting && !e.set.Contains(e.domain)
+}
+
+// updateEvacuations updates whether starts wait for the state of the own domain.
+func (x *Executor) updateEvacuations(now clock.Millis) {
+	e := &x.evacuations
+	if e.set == nil {
+		return
+	}
+	if e.knownSince == 0 {
+		e.knownSince = now
+	}
+	if waiting := e.set.IsUndetermined(e.domain) && now < e.knownSince+undeterminedWait; waiting != e.waiting {
+		e.waiting = waiting
+		x.loadVersion++
+	}
 }
 
 // isSetDue reports whether the next report to an entry includes the set. The entry sends
--- a/internal/executor/evacuation_test.go
+++ b/internal/executor/evacuation_test.go
@@ -136,6 +136,39 @@
 	}
 }
 
+// Guards against starts of a new sidecar whose zone has an unreadable key and was evacuated
+// before, and against one that waits for ever if nobody knows the state.
+func TestNewSidecarWaitsForTheStateOfItsDomain(t *testing.T) {
+	undetermined := evacuation.New(30)
+	undetermined.Undetermined = []evacuation.Undetermined{{Domain: ownDomain, Revision: 20}}
+	for name, test := range map[string]struct {
+		later   *evacuation.Set
+		wait    clock.Millis
+		started bool
+	}{
+		"not told yet":         {undetermined, 1000, false},
+		"nobody knows":         {undetermined, 2000, true},
+		"told, evacuated":      {evacuation.New(30, ownDomain), 2000, false},
+		"told, not evacuated":  {evacuation.New(30), 100, true},
+		"readable, evacuated":  {evacuation.New(40, ownDomain), 2000, false},
+		"readable, other zone": {evacuation.New(40, "z2"), 100, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newEvacuationHarness(t)
+			h.x.SetEvacuations(undetermined)
+			if started, reason, _ := h.order(runID("early")); started || reason != executor.RefusedNotReady {
+				t.Errorf("at first: got started %v reason %q, want not ready", started, reason)
+			}
+			h.x.SetEvacuations(test.later)
+			h.advance(test.wait)
+			h.list(firstToken, 1, nil, nil)
+			if started, reason, _ := h.order(runID("later")); started != test.started {
+				t.Errorf("later: got started %v reason %q, want %v", started, reason, test.started)
+			}
+		})
+	}
+}
+
 // Guards against a feature that delays the sidecars of installations without it.
 func TestWithoutEvacuationsNothingChanges(t *testing.T) {
 	h := newHarness(t)
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -328,6 +328,7 @@
 // Tick makes the decisions that are due at now and returns the commands since the
 // last tick.
 func (x *Executor) Tick(now clock.Millis) []Command {
+	x.updateEvacuations(now)
 	x.checkGrants(now)
 	x.checkProgress(now)
 	x.repeatStops(now)
