--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -269,6 +269,7 @@
 func (x *Executor) Tick(now clock.Millis) []Command {
 	x.markLapsed(now)
 	x.dropUnclaimed(now)
+	x.updateEvacuations(now)
 	x.checkGrants(now)
 	x.checkProgress(now)
 	x.stopBeforeDeparture(now)
