--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -259,13 +259,27 @@
 	}
 }
 
+// startRun calls the worker and reports the result, at the latest after startTimeout. The
+// call itself goes on for a while, so that a merely slow answer keeps its connection and is
+// learned from.
 func (p *Process) startRun(c executor.StartRun) {
-	ctx, cancel := context.WithTimeout(context.Background(), p.startTimeout.Current())
-	defer cancel()
-	sentAt := time.Now()
-	result := p.deps.Worker.Start(ctx, c)
-	if result == executor.StartAccepted {
-		p.startTimeout.RecordAnswer(time.Since(sentAt))
+	answered := make(chan executor.StartResult, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), abandonTimeout)
+		defer cancel()
+		sentAt := time.Now()
+		result := p.deps.Worker.Start(ctx, c)
+		if result == executor.StartAccepted {
+			p.startTimeout.RecordAnswer(time.Since(sentAt))
+		}
+		answered <- result
+	}()
+	result := executor.StartUnknown
+	timer := time.NewTimer(p.startTimeout.Current())
+	defer timer.Stop()
+	select {
+	case result = <-answered:
+	case <-timer.C:
 	}
 	if result == executor.StartUnknown {
 		p.startTimeout.RecordTimeout()
--- a/internal/sidecarnode/starttimeout.go
+++ b/internal/sidecarnode/starttimeout.go
@@ -15,6 +15,9 @@
 	// time for which a busy VM does not run this process: a false timeout voids the other
 	// starts in flight.
 	minStartTimeout = 12 * time.Millisecond
+	// abandonTimeout is when the call of a start without an answer is given up and its
+	// connection closed.
+	abandonTimeout = 140 * time.Millisecond
 	// startTimeoutDeviations is the number of mean deviations above the mean answer time.
 	startTimeoutDeviations = 8
 )
