executor: Count no end as lapsed before a new incarnation is listed

Cause: after a report of a new incarnation, the worker's lease counted as lapsed 1.15 s later, also if no listing under a higher token had been answered until then. A late start or hold meant for the incarnation before can be executed by the new one in that time, with a lease by its own clock. Its end "done" was reported as lapsed, and entries acknowledge lapsed ends also while another run of the task is active.

Change: nothing counts as lapsed until the first listing under the higher token.

TestLateEndOfTheNextIncarnationHasNotLapsed failed before (got lapsed); the tests of internal/executor pass.

--- a/internal/executor/lapses.go
+++ b/internal/executor/lapses.go
@@ -13,9 +13,10 @@
 
 // markLapsed marks the ends after which the worker's lease has certainly lapsed. An
 // acknowledgement of them does not count, so it is harmless also if the task has started
-// elsewhere. Ends that were voided are reported again.
+// elsewhere. Ends that were voided are reported again. Before the first listing of a new
+// incarnation under a higher token, late calls to the one before may renew the lease.
 func (x *Executor) markLapsed(now clock.Millis) {
-	if x.inheritedLease == 0 || now < max(x.latestLease(), x.inheritedLease)+expiryMargin {
+	if x.replaced || x.inheritedLease == 0 || now < max(x.latestLease(), x.inheritedLease)+expiryMargin {
 		return
 	}
 	// Without a lease nothing is active, and nothing starts before all ends are read.
--- a/internal/executor/lapses_test.go
+++ b/internal/executor/lapses_test.go
@@ -171,3 +171,44 @@
 		})
 	}
 }
+
+// Guards against an end that counts although its task has started elsewhere: a new
+// incarnation of the worker executed a late start of the one before, with a lease by its own
+// clock, while its listings had no answer for longer than a lease. No lease that this sidecar
+// knows of was in force then.
+func TestLateEndOfTheNextIncarnationHasNotLapsed(t *testing.T) {
+	h := newHarness(t)
+	id := runID("j")
+	h.x.ListRequest(h.now)
+	h.report(2, 20_000)
+	h.tick()
+	for range 30 {
+		h.advance(50)
+		h.x.WorkerUnreachable(h.now)
+	}
+	h.take()
+	ended := []executor.ListedEnd{{Sequence: 1, Run: id, End: batch.OutcomeDone}}
+	h.list(firstToken+1, 2, nil, ended)
+	h.tick()
+	got := h.endEvents(id)
+	if len(got) == 0 {
+		t.Fatal("events of the end: got none, want one")
+	}
+	for _, e := range got {
+		if e.GetLapsed() {
+			t.Error("event of the end: got lapsed, want not lapsed")
+		}
+	}
+	h.take()
+	for range 30 {
+		h.advance(50)
+		h.list(firstToken+1, 2, nil, ended)
+	}
+	h.x.EntryDisconnected(entryA)
+	h.x.EntryConnected(entryA)
+	h.take()
+	h.tick()
+	if got := h.endEvents(id); len(got) != 1 || !got[0].GetLapsed() {
+		t.Errorf("event of the end after 1.5 s without a lease: got %v, want one that has lapsed", got)
+	}
+}
