scheduler: Expect no endless wait for a rack without workers

Cause: the work that waits for the rack of its data was divided by the capacity of the workers in that rack, at least 1 millicore. If they are all evacuated, draining or ejected, or a job has steps in different racks, that is none: behind two tasks of 100 ms, a job was refused with a Retry-After of 1,200,000 ms.

Change: without such workers, the work counts against the capacity of all workers of the service, which do it.

TestWaitForARackWithoutWorkers failed before; the tests of internal/scheduler pass.

--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -113,10 +113,16 @@
 		}
 	}
 	others, unknown := s.workOfOthers(now, workClass{b.Service, b.Priority})
-	wait := (own*float64(1+unknown) + others) / capacity
+	wait := 0.0
 	if restricted > 0 {
-		wait += restricted * float64(s.entryCount) / max(1, s.restrictedCapacity(b))
+		if particular := s.restrictedCapacity(b); particular > 0 {
+			wait = restricted * float64(s.entryCount) / particular
+		} else {
+			// Without a worker in the racks of the data, the others do the work.
+			own += restricted
+		}
 	}
+	wait += (own*float64(1+unknown) + others) / capacity
 	return clock.Millis(wait)
 }
 
--- a/internal/scheduler/queuedwork_test.go
+++ b/internal/scheduler/queuedwork_test.go
@@ -221,3 +221,37 @@
 		}
 	}
 }
+
+// Guards against a Retry-After of hours, and against refusals with it: all workers in the rack
+// of the jobs' data are evacuated, so that no capacity is left by which the work ahead is
+// divided. The other workers do that work.
+func TestWaitForARackWithoutWorkers(t *testing.T) {
+	b := newZonesTestbed(t, "a", "b")
+	report := func() {
+		b.send("w0", &wire.TaskReport{Load: &wire.WorkerLoad{Cpu: 20_000, FreeCpu: 20_000, MemoryMb: 1000, FreeMemoryMb: 1000, Service: "s", Labels: []string{"r"}, Evacuated: true}})
+		b.send("w1", &wire.TaskReport{Load: &wire.WorkerLoad{Cpu: 20_000, FreeCpu: 5000, MemoryMb: 1000, FreeMemoryMb: 1000, Ready: true, Service: "s"}})
+	}
+	b.evacuate(1, "a")
+	report()
+	inRack := func(id string, tasks int) batch.Job {
+		j := job(id, tasks, true)
+		j.Steps[0].DataRack = "r"
+		return j
+	}
+	if b.isRefused(inRack("first", 2)) {
+		t.Fatal("a job without work ahead was refused")
+	}
+	b.now += 10
+	report()
+	if b.isRefused(inRack("second", 1)) {
+		t.Error("a job behind two tasks was refused")
+	}
+	b.submit(inRack("third", 30))
+	b.now += 10
+	report()
+	r := b.submit(inRack("fourth", 1))
+	got := b.replies()[r]
+	if got.Result != scheduler.NotStored || got.RetryAfter > 3*clock.Second {
+		t.Errorf("reply behind 33 tasks: got %v with Retry-After %d, want a refusal with at most 3 s", got.Result, got.RetryAfter)
+	}
+}
