executor: Start nothing beside a superseded run

Cause: an active run of which a later attempt is known is not among the sidecar's runs, so that its resources did not count.

Change: while the last listing has such a run, nothing starts.

TestNothingStartsBesideASupersededRun failed before (a start of 15 cores beside 15 of 20); the tests of internal/executor pass.

--- a/internal/executor/capacity_test.go
+++ b/internal/executor/capacity_test.go
@@ -111,3 +111,33 @@
 		})
 	}
 }
+
+// Guards against a worker that runs more than it has room for: its next incarnation executed
+// a late start of a task of which a later attempt had run on the one before. The late run has
+// no place among the runs of the sidecar, but takes room until it has been stopped.
+func TestNothingStartsBesideASupersededRun(t *testing.T) {
+	h := newHarness(t)
+	first, second := runID("j"), runID("j")
+	second.Attempt = 2
+	h.x.OrdersReceived(h.now, entryA, h.orders(start(first, 15_000, false)))
+	h.tick()
+	h.x.StartAnswered(h.now, first, firstToken, executor.StartUnknown)
+	h.advance(20)
+	h.list(h.x.ListRequest(h.now).Token, 1, nil, nil)
+	h.x.OrdersReceived(h.now, entryA, h.orders(start(second, 15_000, false)))
+	h.tick()
+	h.x.StartAnswered(h.now, second, h.x.ListRequest(h.now).Token, executor.StartAccepted)
+	h.advance(20)
+	h.take()
+	h.sequence = 0
+	h.report(2, 20_000)
+	h.list(h.x.ListRequest(h.now).Token, 2, []executor.ListedRun{{Run: first}}, nil)
+	if got := h.started("beside", 15_000); len(got) != 0 {
+		t.Errorf("starts beside the late run: got %v, want none", got)
+	}
+	h.advance(20)
+	h.list(h.x.ListRequest(h.now).Token, 2, nil, []executor.ListedEnd{{Sequence: 1, Run: first, End: batch.OutcomeStopped}})
+	if got := h.started("after", 15_000); len(got) != 1 {
+		t.Errorf("starts after its end: got %v, want one", got)
+	}
+}
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -206,6 +206,9 @@
 	rejected map[batch.RunID]*run
 	// superseded holds the ends of superseded runs by their sequence.
 	superseded map[int64]supersededEnd
+	// supersededActive is true if the last listing has an active run of which a later attempt
+	// is known here. It takes room that used does not include, so nothing starts beside it.
+	supersededActive bool
 	// attempts holds the highest attempt of each task that was ordered here.
 	attempts map[batch.TaskID]attempt
 	entries  map[ownership.Incarnation]*entry
--- a/internal/executor/listings.go
+++ b/internal/executor/listings.go
@@ -128,10 +128,15 @@
 	}
 	x.resetOutage()
 	present := make(map[batch.RunID]bool, len(l.Running)+len(l.Ended))
+	hadSuperseded := x.supersededActive
+	x.supersededActive = false
 	for _, lr := range l.Running {
 		present[lr.Run] = true
 		x.handleListedRun(now, lr)
 	}
+	if x.supersededActive != hadSuperseded {
+		x.loadVersion++
+	}
 	for _, le := range l.Ended {
 		present[le.Run] = true
 		x.handleListedEnd(now, le)
@@ -188,6 +193,7 @@
 	}
 	if r.id.Attempt > lr.Run.Attempt {
 		// A start of an earlier attempt was executed late.
+		x.supersededActive = true
 		x.commands = append(x.commands, StopRun{Run: lr.Run, Token: x.token, Entry: r.owner, Reason: StopSuperseded})
 		return
 	}
--- a/internal/executor/starts.go
+++ b/internal/executor/starts.go
@@ -11,7 +11,7 @@
 
 // ready reports whether tasks may be started.
 func (x *Executor) ready() bool {
-	return x.evacuations.permitStarts() && x.runsListed && x.backlog.read && x.fencesLoaded && x.unsizedRuns == 0 && x.leaseExpiredBy == 0 && !x.worker.Draining && !x.draining && x.worker.ID != ""
+	return x.evacuations.permitStarts() && x.runsListed && x.backlog.read && x.fencesLoaded && x.unsizedRuns == 0 && !x.supersededActive && x.leaseExpiredBy == 0 && !x.worker.Draining && !x.draining && x.worker.ID != ""
 }
 
 // available returns the worker's free capacity.
