scheduler: Stop active superseded runs instead of releasing them

Cause: a run of a stored job that its entry had given up and that was found active again was released. A release permits its end to be acknowledged at once, also a "done" that comes before the stop, while another run of the task is active or its end is not stored.

Change: the run is stopped; its end is treated as that of any superseded run.

TestActiveSupersededRunIsStopped failed before (0 stops, 1 release); the tests of internal/scheduler pass.

--- a/internal/scheduler/superseded_test.go
+++ b/internal/scheduler/superseded_test.go
@@ -59,3 +59,36 @@
 		})
 	}
 }
+
+// Guards against a task that starts again after an acknowledged end "done": a run that its
+// entry had given up was found active and released, so that its end was acknowledged at once
+// if it came before the stop, while another run of the task was active and might be lost. It
+// is stopped, and an end "done" treated as that of any superseded run.
+func TestActiveSupersededRunIsStopped(t *testing.T) {
+	for name, otherDone := range map[string]bool{"other run active": false, "other run done, not stored": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestbed(t, 2)
+			b.submit(job("j", 1, false))
+			b.save(scheduler.SaveDone)
+			b.tick()
+			first := b.onlyStart()
+			b.advance(10*clock.Second, first.at)
+			second := b.onlyStart()
+			if otherDone {
+				b.report(second.at, event(second.run, wire.TaskEvent_STATE_DONE))
+			}
+			b.sent = make(map[scheduler.Address][]*wire.TaskOrders)
+			active := event(first.run, wire.TaskEvent_STATE_RUNNING)
+			active.Unclaimed = true
+			b.send(first.at, &wire.TaskReport{Inventory: true, Events: []*wire.TaskEvent{active}, Load: &wire.WorkerLoad{}})
+			stops, releases := 0, 0
+			for _, o := range b.sent[first.at] {
+				stops += len(o.GetStops())
+				releases += len(o.GetReleases())
+			}
+			if stops != 1 || releases != 0 {
+				t.Errorf("orders for the run: got %d stops and %d releases, want 1 and 0", stops, releases)
+			}
+		})
+	}
+}
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -321,8 +321,9 @@
 		s.observeRun(now, n, j, t, id)
 		return
 	case t.state == taskDone || t.attempt > id.Attempt || t.state == taskBound:
-		// The run was abandoned before.
-		n.releaseRun(id)
+		// The run was abandoned before. It is not released: its end "done" must not be
+		// acknowledged before the worker's lease has lapsed.
+		n.orders().Stops = append(n.orders().Stops, id.Wire())
 		return
 	default:
 		if j.queued && j.isPlaceable(t) {
