executor: Late starts belong to the successor of their entry

Cause: a fence transfers the runs of a deposed entry, but not its starts that were resolved as not started. If the worker's next incarnation executed one, the run had an owner that grants nothing: the worker's lease was left to lapse with all of its runs, and nobody was told of the end.

Change: such a run belongs to the entry that owns the jobs of its entry by then.

TestLateStartBelongsToTheSuccessorOfItsEntry failed before (lease left to lapse, no event at the successor); the tests of internal/executor pass.

--- a/internal/executor/executor_test.go
+++ b/internal/executor/executor_test.go
@@ -443,6 +443,43 @@
 	}
 }
 
+// Guards against a worker whose lease is left to lapse, with all of its runs, because a late
+// start counted as a run of the entry that had ordered it and was deposed since.
+func TestLateStartBelongsToTheSuccessorOfItsEntry(t *testing.T) {
+	h := newHarness(t)
+	h.x.EntryConnected(entryB)
+	id := runID("j")
+	h.x.OrdersReceived(h.now, entryA, h.orders(start(id, 5000, false)))
+	h.tick()
+	h.x.StartAnswered(h.now, id, firstToken, executor.StartUnknown)
+	h.advance(20)
+	h.list(h.x.ListRequest(h.now).Token, 1, nil, nil)
+	h.x.EntryDisconnected(entryA)
+	fences := h.orders()
+	fences.Fences = []*wire.FenceEntry{{Deposed: string(entryA), Successor: string(entryB)}}
+	h.x.OrdersReceived(h.now, entryB, fences)
+	for range 50 {
+		h.advance(100)
+		h.x.OrdersReceived(h.now, entryB, h.orders())
+		h.list(h.x.ListRequest(h.now).Token, 1, nil, nil)
+	}
+	h.sequence = 0
+	h.report(2, 20_000)
+	h.list(h.x.ListRequest(h.now).Token, 2, []executor.ListedRun{{Run: id}}, nil)
+	h.take()
+	h.advance(10)
+	for _, c := range h.take() {
+		if e, ok := c.(executor.LeaseExpiring); ok {
+			t.Errorf("lease: got left to lapse for %v of %s, want it renewed", e.Run, e.Entry)
+		}
+	}
+	h.list(h.x.ListRequest(h.now).Token, 2, nil, []executor.ListedEnd{{Sequence: 1, Run: id, End: batch.OutcomeStopped}})
+	h.tick()
+	if got, want := h.states(entryB)[id], wire.TaskEvent_STATE_STOPPED; got != want {
+		t.Errorf("state at the successor: got %v, want %v", got, want)
+	}
+}
+
 // Guards against a caller that is told that its job has not run: a listing that is
 // full may omit the end of a run whose start got no answer.
 func TestFullListingResolvesNoUnansweredStart(t *testing.T) {
--- a/internal/executor/latestarts.go
+++ b/internal/executor/latestarts.go
@@ -20,6 +20,7 @@
 		return false
 	}
 	delete(x.rejected, id)
+	r.owner, _ = x.successors.CurrentOwner(r.owner)
 	r.phase = running
 	r.acceptedAt, r.lastProgressAt = now, now
 	r.workerIncarnation = x.worker.Incarnation
