--- a/internal/sidecarnode/sidecarnode.go
+++ b/internal/sidecarnode/sidecarnode.go
@@ -110,6 +110,11 @@
 	listPause = 6 * time.Millisecond
 	// retryPause is the wait before a failed call is retried.
 	retryPause = 100 * time.Millisecond
+	// returnPause replaces retryPause for a listing that the worker refuses while a start
+	// without an answer may be executed late. A worker that starts again executes such a start
+	// until its first listing, so that listing must not be late. A refused connection to
+	// the same machine costs some 0.1 ms.
+	returnPause = 5 * time.Millisecond
 	// storeRetryPause is the wait before a failed call to the store is retried. It is
 	// short because entries place nothing on an unregistered worker.
 	storeRetryPause = 200 * clock.Millis(1)
@@ -117,11 +122,6 @@
 	// registration that succeeds ends the wait, so that one call of each sidecar probes a
 	// failing store.
 	restoreRetryPause = 1 * clock.Second
-	// returnPause replaces it for a listing that the worker refuses while a start without
-	// an answer may be executed late. A worker that starts again executes such a start
-	// until its first listing, so that listing must not be late. A refused connection to
-	// the same machine costs some 0.1 ms.
-	returnPause = 5 * time.Millisecond
 	// lateStartPeriod is how long after its call a worker may execute a start without an
 	// answer.
 	lateStartPeriod = 12 * clock.Second
