executor, scheduler: Name the conditions of a ready worker

The ten conditions of Executor.ready stood in one line; they now have the names of what they have in common. The adoption of an active run is built by adoptOrder as everywhere else. No change of behavior; the tests of both packages pass.

--- a/internal/executor/starts.go
+++ b/internal/executor/starts.go
@@ -11,7 +11,10 @@
 
 // ready reports whether tasks may be started.
 func (x *Executor) ready() bool {
-	return x.evacuations.permitStarts() && x.runsListed && x.backlog.read && x.fencesLoaded && x.unsizedRuns == 0 && !x.supersededActive && x.leaseExpiredBy == 0 && !x.worker.Draining && !x.draining && x.worker.ID != ""
+	stateKnown := x.worker.ID != "" && x.fencesLoaded && x.runsListed && x.backlog.read
+	hasUncountedRun := x.unsizedRuns > 0 || x.supersededActive
+	isLeaving := x.worker.Draining || x.draining
+	return stateKnown && !hasUncountedRun && !isLeaving && x.leaseExpiredBy == 0 && x.evacuations.permitStarts()
 }
 
 // available returns the worker's free capacity.
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -337,7 +337,7 @@
 		n.runs[id.TaskID] = boundTask{j, t}
 	}
 	if n.handlingInventory || e.GetUnclaimed() {
-		n.orders().Adopts = append(n.orders().Adopts, s.startOrder(j, t, ""))
+		n.orders().Adopts = append(n.orders().Adopts, s.adoptOrder(j, t, id))
 	}
 	if j.cancelled {
 		n.orders().Stops = append(n.orders().Stops, id.Wire())
