executor: Report a worker as not ready while its lease must lapse

Cause: for an end that must not count (voided, superseded or unclaimed for long) the sidecar renews the worker's lease no longer until it has lapsed, 0.75 s as a rule. No start gets a lease meanwhile, but the worker was reported as ready, and emptier with each run that ended: entries preferred it and got every start back, at once for best-effort jobs.

Change: the worker is not ready until the lease has lapsed.

TestWorkerIsNotReadyWhileItsLeaseMustLapse failed before (ready in all reports); the tests of internal/executor pass.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -227,6 +227,8 @@
 	// leaseExpiredBy is when the worker's lease will certainly have expired, while
 	// it is not renewed; 0 otherwise.
 	leaseExpiredBy clock.Millis
+	// lapseAwaited is awaitsLapse as of the last tick.
+	lapseAwaited bool
 	// maxLease is the longest lease that the worker grants.
 	maxLease clock.Millis
 	// leaseUntil is the latest end of the lease that was requested by a call that may
@@ -271,6 +273,7 @@
 // last tick.
 func (x *Executor) Tick(now clock.Millis) []Command {
 	x.markLapsed(now)
+	x.updateAwaitedLapse(now)
 	x.dropUnclaimed(now)
 	x.updateEvacuations(now)
 	x.checkGrants(now)
--- a/internal/executor/lapses.go
+++ b/internal/executor/lapses.go
@@ -36,6 +36,15 @@
 	}
 }
 
+// updateAwaitedLapse updates whether the worker is not ready because its lease must lapse:
+// no start would get a lease.
+func (x *Executor) updateAwaitedLapse(now clock.Millis) {
+	if awaited := x.awaitsLapse(now); awaited != x.lapseAwaited {
+		x.lapseAwaited = awaited
+		x.loadVersion++
+	}
+}
+
 // awaitsLapse reports whether the worker's lease must lapse because an end must not count.
 func (x *Executor) awaitsLapse(now clock.Millis) bool {
 	for _, e := range x.superseded {
--- a/internal/executor/lapses_test.go
+++ b/internal/executor/lapses_test.go
@@ -1,6 +1,7 @@
 package executor_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
@@ -212,3 +213,39 @@
 		t.Errorf("event of the end after 1.5 s without a lease: got %v, want one that has lapsed", got)
 	}
 }
+
+// Guards against a worker that attracts tasks and returns them all: while its lease was left
+// to lapse because of a voided end it looked ready and empty, but no start could get a lease.
+func TestWorkerIsNotReadyWhileItsLeaseMustLapse(t *testing.T) {
+	h := newHarness(t)
+	id := runID("j")
+	ended := []executor.ListedEnd{{Sequence: 1, Run: id, End: batch.OutcomeDone}}
+	h.x.ListRequest(h.now)
+	h.x.OrdersReceived(h.now, entryA, h.orders(start(id, 10, false)))
+	h.tick()
+	h.x.StartAnswered(h.now, id, firstToken, executor.StartAccepted)
+	h.now += 10
+	h.list(firstToken, 1, nil, ended)
+	h.tick()
+	h.x.OrdersReceived(h.now, entryA, &wire.TaskOrders{GrantedFrom: int64(h.now), Voids: []*wire.TaskRun{id.Wire()}})
+	h.take()
+	var ready []bool
+	for i := range 30 {
+		h.tick()
+		for _, r := range h.sentReports() {
+			if n := len(ready); n == 0 || ready[n-1] != r.GetLoad().GetReady() {
+				ready = append(ready, r.GetLoad().GetReady())
+			}
+		}
+		if i == 0 && (len(ready) != 1 || ready[0]) {
+			t.Errorf("report at the next tick: got ready %v, want one that is not", ready)
+		}
+		h.now += 50
+		h.x.OrdersReceived(h.now, entryA, h.orders())
+		h.x.ListRequest(h.now)
+		h.list(firstToken, 1, nil, ended)
+	}
+	if want := []bool{false, true}; !slices.Equal(ready, want) {
+		t.Errorf("ready in the reports, without repetitions: got %v, want %v", ready, want)
+	}
+}
--- a/internal/executor/starts.go
+++ b/internal/executor/starts.go
@@ -14,7 +14,8 @@
 	stateKnown := x.worker.ID != "" && x.fencesLoaded && x.runsListed && x.backlog.read
 	hasUncountedRun := x.unsizedRuns > 0 || x.supersededActive
 	isLeaving := x.worker.Draining || x.draining
-	return stateKnown && !hasUncountedRun && !isLeaving && x.leaseExpiredBy == 0 && x.evacuations.permitStarts()
+	lapses := x.leaseExpiredBy != 0 || x.lapseAwaited
+	return stateKnown && !hasUncountedRun && !isLeaving && !lapses && x.evacuations.permitStarts()
 }
 
 // available returns the worker's free capacity.
