scheduler: Prefer workers that have not refused a stored task

Cause: starts that are refused are delayed, but the next one goes to the same worker if its report shows room: the emptiest one has the lowest cost.

TestRefusedTaskTriesOtherWorkers failed before (no start within 3 s, 3 of 3 runs); the tests of internal/scheduler pass.

--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"slices"
+
 	"github.com/teaseltide/teaseltide/internal/batch"
 	"github.com/teaseltide/teaseltide/pkg/clock"
 )
@@ -21,6 +23,11 @@
 	minRefusalDelay = 5 * clock.Millis(1)
 	// maxRefusalDelay leaves several tries in the 3 s after which a task must have started.
 	maxRefusalDelay = 500 * clock.Millis(1)
+	// refusedCost is added to the cost of a worker that refuses a stored task's starts, in
+	// ms, so that one that does not is preferred if it has room. A sidecar behind a slow
+	// link reports room and refuses each start as too old. It exceeds coldCost and is below
+	// suspectCost.
+	refusedCost = 1e8
 )
 
 // highestAttempt returns the highest attempt of any run of the job, as far as known.
@@ -57,9 +64,20 @@
 // delayAfterRefusal puts off the next start of a stored task whose starts are refused one
 // after the other. Those of best-effort jobs are not delayed: their attempts are not limited,
 // entries compete for room all the time under overload, and 20 ms made refusals of their
-// jobs late there (TestRefusalsAreSoonBesideSlowWorkers).
-func (t *task) delayAfterRefusal(now clock.Millis) {
+// jobs late there (TestRefusalsAreSoonBesideSlowWorkers). The worker is avoided from then on.
+func (t *task) delayAfterRefusal(now clock.Millis, n *node) {
 	if t.refusals++; t.refusals > freeRefusals {
+		if !slices.Contains(t.refusedBy, n.address) {
+			t.refusedBy = append(t.refusedBy, n.address)
+		}
 		t.notBefore = max(t.notBefore, now+min(minRefusalDelay<<min(t.refusals-freeRefusals-1, 8), maxRefusalDelay))
 	}
 }
+
+// refusalCost returns the cost of a worker for a task that comes from refused starts.
+func (t *task) refusalCost(n *node) float64 {
+	if slices.Contains(t.refusedBy, n.address) {
+		return refusedCost
+	}
+	return 0
+}
--- a/internal/scheduler/attempts_test.go
+++ b/internal/scheduler/attempts_test.go
@@ -8,6 +8,7 @@
 	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/scheduler"
 	"github.com/teaseltide/teaseltide/internal/wire"
+	"github.com/teaseltide/teaseltide/pkg/clock"
 )
 
 // takeOverBy returns a testbed of an entry that has taken over a job after a number of
@@ -129,3 +130,38 @@
 		t.Errorf("attempt of the successor: got %d, want 2001", got)
 	}
 }
+
+// Guards against a stored task that never starts: a sidecar behind a slow link reports room
+// and refuses each start as too old, and its empty worker looks better than the others.
+func TestRefusedTaskTriesOtherWorkers(t *testing.T) {
+	b := newTestbed(t, 3)
+	refusing := map[scheduler.Address]bool{address(0): true, address(1): true}
+	report := func(a scheduler.Address, events ...*wire.TaskEvent) {
+		load := &wire.WorkerLoad{Cpu: 20_000, FreeCpu: 20_000, MemoryMb: 1000, FreeMemoryMb: 1000, Ready: true, Service: "s"}
+		if !refusing[a] {
+			load.FreeCpu = 8000
+		}
+		b.send(a, &wire.TaskReport{Load: load, Events: events})
+	}
+	for a := range b.workers {
+		report(a)
+	}
+	j := job("j", 1, false)
+	j.Objective = clock.Minute
+	b.submit(j)
+	b.acknowledgeSaves()
+	for submittedAt := b.now; b.now < submittedAt+3*clock.Second; b.now += 10 {
+		b.s.RecordStoreContact(b.now)
+		b.tick()
+		for _, s := range b.starts() {
+			if !refusing[s.at] {
+				return
+			}
+			report(s.at, event(s.run, wire.TaskEvent_STATE_NOT_STARTED))
+		}
+		for a := range b.workers {
+			report(a)
+		}
+	}
+	t.Error("starts within 3 s on the worker that refuses none: got none, want one")
+}
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -32,7 +32,7 @@
 		if !permitted {
 			continue
 		}
-		cost := q.s.noisyCost(n, q.step)*n.interference(q.job.Route) + q.s.separationCost(q.task, n) + q.s.coldCost(q.job, n)
+		cost := q.s.noisyCost(n, q.step)*n.interference(q.job.Route) + q.s.separationCost(q.task, n) + q.s.coldCost(q.job, n) + q.task.refusalCost(n)
 		if avoided {
 			cost += avoidedCost
 		}
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -35,6 +35,8 @@
 	notBefore clock.Millis
 	// refusals is the number of consecutive starts that did not lead to a run.
 	refusals int
+	// refusedBy holds the workers whose refusals exceeded freeRefusals since the last run.
+	refusedBy []Address
 	// sequence is that of the orders with the start, 0 for an adopted run.
 	sequence int64
 	failures int
@@ -219,7 +221,7 @@
 	}
 	if e.GetState() != wire.TaskEvent_STATE_QUEUED && e.GetState() != wire.TaskEvent_STATE_NOT_STARTED {
 		t.ran = true
-		t.refusals = 0
+		t.refusals, t.refusedBy = 0, nil
 	}
 	if e.GetState() != wire.TaskEvent_STATE_QUEUED && e.GetState() != wire.TaskEvent_STATE_RUNNING {
 		t.removeOtherRun(n, id)
@@ -246,7 +248,7 @@
 				s.counters.StartsEvacuated++
 			}
 			if !j.BestEffort {
-				t.delayAfterRefusal(now)
+				t.delayAfterRefusal(now, n)
 			}
 			s.unbind(j, t)
 			s.advance(now, j)
