scheduler: A worker that refuses a task is no alternative

Cause: a task avoids the worker that failed it, or crashed under it, as long as another one could take it.

TestRefusingWorkerIsNoAlternative failed before (no start within 3 s); the tests of internal/scheduler pass.

--- a/internal/scheduler/alternatives.go
+++ b/internal/scheduler/alternatives.go
@@ -101,11 +101,11 @@
 }
 
 // hasAlternative reports whether a worker without trouble could take the task by its job's
-// target. A worker that never can, for its size, its label, its silence or its ejection,
-// must not keep the task waiting.
+// target. A worker that never can, for its size, its label, its silence or its ejection, or
+// that refuses the task again and again, must not keep it waiting.
 func (q *search) hasAlternative() bool {
 	return slices.ContainsFunc(q.s.nodeList, func(n *node) bool {
-		return !q.task.hadTroubleOn(n) && q.s.couldTake(q.now, n, q.job.Service, q.step) && n.finishesInTime(q.now, q.job, q.step)
+		return !q.task.hadTroubleOn(n) && !slices.Contains(q.task.refusedBy, n.address) && q.s.couldTake(q.now, n, q.job.Service, q.step) && n.finishesInTime(q.now, q.job, q.step)
 	})
 }
 
--- a/internal/scheduler/alternatives_test.go
+++ b/internal/scheduler/alternatives_test.go
@@ -180,3 +180,28 @@
 		t.Errorf("starts in 2.5 s on an ejected worker: got %d, want 3", starts)
 	}
 }
+
+// Guards against a task that never runs again after a failure: its only alternative reports
+// room and refuses each start, and the refusals kept it from the worker that it avoided.
+func TestRefusingWorkerIsNoAlternative(t *testing.T) {
+	b := newTestbed(t, 2)
+	j := job("j", 1, false)
+	j.Objective = clock.Minute
+	b.submit(j)
+	b.acknowledgeSaves()
+	b.tick()
+	first := b.onlyStart()
+	b.report(first.at, event(first.run, wire.TaskEvent_STATE_FAILED))
+	for failedAt := b.now; b.now < failedAt+3*clock.Second; b.now += 10 {
+		b.s.RecordStoreContact(b.now)
+		b.acknowledgeSaves()
+		b.reportAll()
+		for _, s := range b.starts() {
+			if s.at == first.at {
+				return
+			}
+			b.report(s.at, event(s.run, wire.TaskEvent_STATE_NOT_STARTED))
+		}
+	}
+	t.Error("starts within 3 s on the worker that refuses none: got none, want one")
+}
