executor: A sidecar beside a superseded run holds something

Cause: an active superseded run is not among the sidecar's runs, so that a sidecar that stops deleted its registration and no takeover would have waited for it.

Change: HoldsNothing is false while the last listing has such a run. The check in TestNothingStartsBesideASupersededRun failed before; the tests of internal/executor pass.

--- a/internal/executor/capacity_test.go
+++ b/internal/executor/capacity_test.go
@@ -135,6 +135,9 @@
 	if got := h.started("beside", 15_000); len(got) != 0 {
 		t.Errorf("starts beside the late run: got %v, want none", got)
 	}
+	if h.x.HoldsNothing() {
+		t.Error("holds nothing beside the late run: got true, want false")
+	}
 	h.advance(20)
 	h.list(h.x.ListRequest(h.now).Token, 2, nil, []executor.ListedEnd{{Sequence: 1, Run: first, End: batch.OutcomeStopped}})
 	if got := h.started("after", 15_000); len(got) != 1 {
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -319,7 +319,7 @@
 // HoldsNothing reports whether the worker has listed its runs and ends and has none that a
 // takeover must wait for.
 func (x *Executor) HoldsNothing() bool {
-	return x.hasListed && x.Idle()
+	return x.hasListed && x.Idle() && !x.supersededActive
 }
 
 // ActiveRuns returns the number of runs that may be active on the worker.
