--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -206,6 +206,9 @@
 	rejected map[batch.RunID]*run
 	// superseded holds the ends of superseded runs by their sequence.
 	superseded map[int64]supersededEnd
+	// supersededActive is true if the last listing has an active run of which a later attempt
+	// is known here. It takes room that used does not include, so nothing starts beside it.
+	supersededActive bool
 	// attempts holds the highest attempt of each task that was ordered here.
 	attempts map[batch.TaskID]attempt
 	entries  map[ownership.Incarnation]*entry
@@ -224,6 +227,8 @@
 	// leaseExpiredBy is when the worker's lease will certainly have expired, while
 	// it is not renewed; 0 otherwise.
 	leaseExpiredBy clock.Millis
+	// lapseAwaited is awaitsLapse as of the last tick.
+	lapseAwaited bool
 	// maxLease is the longest lease that the worker grants.
 	maxLease clock.Millis
 	// leaseUntil is the latest end of the lease that was requested by a call that may
@@ -268,6 +273,7 @@
 // last tick.
 func (x *Executor) Tick(now clock.Millis) []Command {
 	x.markLapsed(now)
+	x.updateAwaitedLapse(now)
 	x.dropUnclaimed(now)
 	x.updateEvacuations(now)
 	x.checkGrants(now)
@@ -313,7 +319,7 @@
 // HoldsNothing reports whether the worker has listed its runs and ends and has none that a
 // takeover must wait for.
 func (x *Executor) HoldsNothing() bool {
-	return x.hasListed && x.Idle()
+	return x.hasListed && x.Idle() && !x.supersededActive
 }
 
 // ActiveRuns returns the number of runs that may be active on the worker.
--- a/internal/executor/lapses_test.go
+++ b/internal/executor/lapses_test.go
@@ -1,6 +1,7 @@
 package executor_test
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/teaseltide/teaseltide/internal/batch"
@@ -171,3 +172,80 @@
 		})
 	}
 }
+
+// Guards against an end that counts although its task has started elsewhere: a new
+// incarnation of the worker executed a late start of the one before, with a lease by its own
+// clock, while its listings had no answer for longer than a lease. No lease that this sidecar
+// knows of was in force then.
+func TestLateEndOfTheNextIncarnationHasNotLapsed(t *testing.T) {
+	h := newHarness(t)
+	id := runID("j")
+	h.x.ListRequest(h.now)
+	h.report(2, 20_000)
+	h.tick()
+	for range 30 {
+		h.advance(50)
+		h.x.WorkerUnreachable(h.now)
+	}
+	h.take()
+	ended := []executor.ListedEnd{{Sequence: 1, Run: id, End: batch.OutcomeDone}}
+	h.list(firstToken+1, 2, nil, ended)
+	h.tick()
+	got := h.endEvents(id)
+	if len(got) == 0 {
+		t.Fatal("events of the end: got none, want one")
+	}
+	for _, e := range got {
+		if e.GetLapsed() {
+			t.Error("event of the end: got lapsed, want not lapsed")
+		}
+	}
+	h.take()
+	for range 30 {
+		h.advance(50)
+		h.list(firstToken+1, 2, nil, ended)
+	}
+	h.x.EntryDisconnected(entryA)
+	h.x.EntryConnected(entryA)
+	h.take()
+	h.tick()
+	if got := h.endEvents(id); len(got) != 1 || !got[0].GetLapsed() {
+		t.Errorf("event of the end after 1.5 s without a lease: got %v, want one that has lapsed", got)
+	}
+}
+
+// Guards against a worker that attracts tasks and returns them all: while its lease was left
+// to lapse because of a voided end it looked ready and empty, but no start could get a lease.
+func TestWorkerIsNotReadyWhileItsLeaseMustLapse(t *testing.T) {
+	h := newHarness(t)
+	id := runID("j")
+	ended := []executor.ListedEnd{{Sequence: 1, Run: id, End: batch.OutcomeDone}}
+	h.x.ListRequest(h.now)
+	h.x.OrdersReceived(h.now, entryA, h.orders(start(id, 10, false)))
+	h.tick()
+	h.x.StartAnswered(h.now, id, firstToken, executor.StartAccepted)
+	h.now += 10
+	h.list(firstToken, 1, nil, ended)
+	h.tick()
+	h.x.OrdersReceived(h.now, entryA, &wire.TaskOrders{GrantedFrom: int64(h.now), Voids: []*wire.TaskRun{id.Wire()}})
+	h.take()
+	var ready []bool
+	for i := range 30 {
+		h.tick()
+		for _, r := range h.sentReports() {
+			if n := len(ready); n == 0 || ready[n-1] != r.GetLoad().GetReady() {
+				ready = append(ready, r.GetLoad().GetReady())
+			}
+		}
+		if i == 0 && (len(ready) != 1 || ready[0]) {
+			t.Errorf("report at the next tick: got ready %v, want one that is not", ready)
+		}
+		h.now += 50
+		h.x.OrdersReceived(h.now, entryA, h.orders())
+		h.x.ListRequest(h.now)
+		h.list(firstToken, 1, nil, ended)
+	}
+	if want := []bool{false, true}; !slices.Equal(ready, want) {
+		t.Errorf("ready in the reports, without repetitions: got %v, want %v", ready, want)
+	}
+}
--- a/internal/executor/starts.go
+++ b/internal/executor/starts.go
@@ -11,7 +11,11 @@
 
 // ready reports whether tasks may be started.
 func (x *Executor) ready() bool {
-	return x.evacuations.permitStarts() && x.runsListed && x.backlog.read && x.fencesLoaded && x.unsizedRuns == 0 && x.leaseExpiredBy == 0 && !x.worker.Draining && !x.draining && x.worker.ID != ""
+	stateKnown := x.worker.ID != "" && x.fencesLoaded && x.runsListed && x.backlog.read
+	hasUncountedRun := x.unsizedRuns > 0 || x.supersededActive
+	isLeaving := x.worker.Draining || x.draining
+	lapses := x.leaseExpiredBy != 0 || x.lapseAwaited
+	return stateKnown && !hasUncountedRun && !isLeaving && !lapses && x.evacuations.permitStarts()
 }
 
 // available returns the worker's free capacity.
