--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -22,28 +22,46 @@
 	startupGracePeriod = 1 * clock.Second
 )
 
+// admission is the decision whether to accept a new job.
+type admission struct {
+	// reason to refuse the job; empty if it is accepted.
+	reason     string
+	retryAfter clock.Millis
+	// wait is the expected wait, if the decision depends on it.
+	wait clock.Millis
+}
+
 // checkAdmission returns the reason to refuse a new job and the Retry-After for
 // its caller. The reason is empty if the job is accepted.
 func (s *Scheduler) checkAdmission(now clock.Millis, b batch.Job) (string, clock.Millis) {
+	a := s.admissionOf(now, b)
+	if a.reason == reasonOverload {
+		s.lastExpectedWait = a.wait
+	}
+	return a.reason, a.retryAfter
+}
+
+// admissionOf decides whether to accept a new job and changes nothing.
+func (s *Scheduler) admissionOf(now clock.Millis, b batch.Job) admission {
 	switch {
 	case s.drainBy != 0 && !s.endsInDrain(now, b):
-		return "draining", minRetryAfter
+		return admission{reason: "draining", retryAfter: minRetryAfter}
 	case !b.BestEffort && s.storeFailing:
-		return "store", storeRetryAfter
+		return admission{reason: "store", retryAfter: storeRetryAfter}
 	case !b.BestEffort && !s.mayOrderStored(now):
-		return "no contact with the store", storeRetryAfter
+		return admission{reason: "no contact with the store", retryAfter: storeRetryAfter}
 	case len(s.jobs) >= maxOpenJobs:
-		return "too many jobs", minRetryAfter
+		return admission{reason: "too many jobs", retryAfter: minRetryAfter}
 	}
 	capacity, fits := s.serviceCapacity(b)
 	starting := now < s.startedAt+startupGracePeriod
 	switch {
 	case !fits && starting:
-		return "", 0
+		return admission{}
 	case !fits:
-		return "no worker fits", storeRetryAfter
+		return admission{reason: "no worker fits", retryAfter: storeRetryAfter}
 	case starting && s.witnesses.hasUnready():
-		return "", 0
+		return admission{}
 	}
 	wait := s.expectedWait(now, b, capacity)
 	longest := 0.0
@@ -56,10 +74,9 @@
 		maxResponse = b.Objective
 	}
 	if wait > 0 && wait+responseOverhead+clock.Millis(longest) > maxResponse && !s.hasFreeCapacity(now, b) {
-		s.lastExpectedWait = wait
-		return reasonOverload, max(minRetryAfter, wait)
+		return admission{reason: reasonOverload, retryAfter: max(minRetryAfter, wait), wait: wait}
 	}
-	return "", 0
+	return admission{wait: wait}
 }
 
 // endsInDrain reports whether a best-effort job is expected to end before the
--- a/internal/scheduler/alternatives.go
+++ b/internal/scheduler/alternatives.go
@@ -74,30 +74,40 @@
 	return search{s: s, now: now, job: j, task: t, step: &j.Steps[t.step], lifted: s.takesAvoided(now, j), needed: unlimited}
 }
 
-// permits reports whether a task may be placed on a worker with room, and whether it
-// avoids the worker if there is another one: an ejected one, one too slow for the job's
-// target, or one that had trouble with the task.
-func (q *search) permits(n *node) (avoided, permitted bool) {
+// permits reports whether a task may be placed on a worker with room, and the reason
+// against it. With a reason, a permitted worker is avoided if there is another one: an
+// ejected one, one too slow for the job's target, or one that had trouble with the task.
+func (q *search) permits(n *node) (reason Reason, permitted bool) {
 	ejected := !n.mayPlaceOn(q.now) && q.otherWorker.get(q.hasOtherWorker)
 	slow := !n.finishesInTime(q.now, q.job, q.step)
 	switch {
 	case ejected && !q.lifted:
-		return true, false
+		return Ejected, false
 	case slow && !q.lifted:
 		q.needed = min(q.needed, n.neededTolerance(q.step))
-		return true, false
-	case q.step.MaxPerWorker > 0 && boundTasks(q.job, q.task.step, n) >= q.step.MaxPerWorker,
-		q.task.isIsolated(q.now, q.job.BestEffort) && q.s.suspects.nodes[n.address],
+		return TooSlow, false
+	case q.step.MaxPerWorker > 0 && boundTasks(q.job, q.task.step, n) >= q.step.MaxPerWorker:
+		q.isExcluded = true
+		return TaskLimit, false
+	case q.task.isIsolated(q.now, q.job.BestEffort) && q.s.suspects.nodes[n.address],
 		q.task.needsOwnWorker(q.now, q.job.BestEffort) && !n.free.Covers(n.capacity):
 		q.isExcluded = true
-		return false, false
+		return Isolation, false
 	}
 	trouble := q.task.hadTroubleOn(n) && q.alternative.get(q.hasAlternative)
 	if trouble && !q.lifted {
 		q.isExcluded = true
-		return true, false
+		return Trouble, false
+	}
+	switch {
+	case ejected:
+		return Ejected, true
+	case slow:
+		return TooSlow, true
+	case trouble:
+		return Trouble, true
 	}
-	return ejected || slow || trouble, true
+	return "", true
 }
 
 // hasAlternative reports whether a worker without trouble could take the task by its job's
--- a/internal/scheduler/lifecycle.go
+++ b/internal/scheduler/lifecycle.go
@@ -51,8 +51,7 @@
 // coldCost returns the cost of a worker for a task of a job that comes from keeping the most
 // urgent tasks off cold workers.
 func (s *Scheduler) coldCost(j *job, n *node) float64 {
-	s.highestPriority = min(s.highestPriority, j.Priority)
-	if n.isCold() && j.Priority == s.highestPriority {
+	if n.isCold() && j.Priority <= s.highestPriority {
 		return coldCost
 	}
 	return 0
--- a/internal/scheduler/patience.go
+++ b/internal/scheduler/patience.go
@@ -30,18 +30,25 @@
 // submission: a caller's patience counts from there, and less of it remains at a
 // resubmission.
 func (s *Scheduler) updatePatience(now clock.Millis, b *batch.Job) clock.Millis {
+	average, elapsed := s.patienceWith(now, b)
+	s.patience[b.Route] = average
+	return elapsed
+}
+
+// patienceWith returns the average patience of a route's callers with that of one more job,
+// and the estimated time since the caller first sent the job.
+func (s *Scheduler) patienceWith(now clock.Millis, b *batch.Job) (average patience, elapsed clock.Millis) {
 	remaining, objective := float64(b.Deadline-now), max(1, float64(b.Objective))
 	average, known := s.patience[b.Route]
 	if !known {
 		average = patience{remaining, remaining / objective}
 	}
 	average = patience{weightedAverage(average.millis, remaining), weightedAverage(average.objectives, remaining/objective)}
-	s.patience[b.Route] = average
 	expected := min(average.millis, average.objectives*objective)
 	if now-s.disruptedAt >= resubmissionWindow || remaining >= resubmissionThreshold*expected {
-		return 0
+		return average, 0
 	}
-	return clock.Millis(expected - remaining)
+	return average, clock.Millis(expected - remaining)
 }
 
 // weightedAverage returns the average after one more value.
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -25,17 +25,12 @@
 	var best *node
 	var bestCost float64
 	for _, n := range q.s.nodeList {
-		if !n.eligible(q.job.Service, q.step) || q.now-n.reportReceivedAt > maxReportAge || q.now < n.reservedUntil || !n.free.Covers(q.step.Required) {
+		reason, possible := q.judge(n)
+		if !possible {
 			continue
 		}
-		avoided, permitted := q.permits(n)
-		if !permitted {
-			continue
-		}
-		cost := q.s.noisyCost(n, q.step)*n.interference(q.job.Route) + q.s.separationCost(q.task, n) + q.s.coldCost(q.job, n)
-		if avoided {
-			cost += avoidedCost
-		}
+		q.s.highestPriority = min(q.s.highestPriority, q.job.Priority)
+		cost := q.cost(n, reason.isAvoidance(), q.s.rand.Float64())
 		if best == nil || cost < bestCost {
 			best, bestCost = n, cost
 		}
@@ -43,19 +38,68 @@
 	return best
 }
 
-// noisyCost returns the cost of a worker with noise.
-func (s *Scheduler) noisyCost(n *node, step *batch.Step) float64 {
+// judge reports whether the task can be placed on a worker now. The reason is that against
+// the worker, or why the worker is avoided if there is another one, or empty.
+func (q *search) judge(n *node) (reason Reason, possible bool) {
+	if reason = n.ineligibility(q.job.Service, q.step); reason != "" {
+		return reason, false
+	}
+	switch {
+	case q.now-n.reportReceivedAt > maxReportAge:
+		return ReportTooOld, false
+	case q.now < n.reservedUntil:
+		return Reserved, false
+	case !n.free.Covers(q.step.Required):
+		if !n.capacity.Covers(q.step.Required) {
+			return TooSmall, false
+		}
+		return NoFreeCapacity, false
+	}
+	return q.permits(n)
+}
+
+// cost returns the cost of a worker for the task, with noise from 0 to 1.
+func (q *search) cost(n *node, avoided bool, noise float64) float64 {
+	cost := n.noisyCost(q.step, noise)*n.interference(q.job.Route) + q.s.separationCost(q.task, n) + q.s.coldCost(q.job, n)
+	if avoided {
+		cost += avoidedCost
+	}
+	return cost
+}
+
+// noisyCost returns the cost of a worker with noise from 0 to 1.
+func (n *node) noisyCost(step *batch.Step, noise float64) float64 {
 	if n.outsideSubset {
-		return n.cost(step) * outsideSubsetCost * (1 + outsideSubsetNoise*s.rand.Float64())
+		return n.cost(step) * outsideSubsetCost * (1 + outsideSubsetNoise*noise)
 	}
-	return n.cost(step) * (1 + costNoise*s.rand.Float64())
+	return n.cost(step) * (1 + costNoise*noise)
 }
 
 // eligible reports whether a worker takes tasks of a step, regardless of its free
 // capacity.
 func (n *node) eligible(service string, step *batch.Step) bool {
-	return n.connected && n.hasInventory && n.load != nil && n.isReady() && n.load.GetService() == service &&
-		(step.RequiredLabel == "" || slices.Contains(n.load.GetLabels(), step.RequiredLabel))
+	return n.ineligibility(service, step) == ""
+}
+
+// ineligibility returns why a worker takes no tasks of a step, empty if it does.
+func (n *node) ineligibility(service string, step *batch.Step) Reason {
+	switch {
+	case !n.connected:
+		return NotConnected
+	case !n.hasInventory:
+		return NoInventory
+	case n.load == nil:
+		return NoReport
+	case n.evacuated:
+		return Evacuated
+	case !n.isReady():
+		return NotReady
+	case n.load.GetService() != service:
+		return OtherService
+	case step.RequiredLabel != "" && !slices.Contains(n.load.GetLabels(), step.RequiredLabel):
+		return LabelMissing
+	}
+	return ""
 }
 
 // expectedRunTime returns the expected run time of a task of a step in ms.
