--- a/internal/scheduler/explanation_test.go
+++ b/internal/scheduler/explanation_test.go
@@ -15,6 +15,7 @@
 	"github.com/teaseltide/teaseltide/internal/ownership"
 	"github.com/teaseltide/teaseltide/internal/scheduler"
 	"github.com/teaseltide/teaseltide/internal/wire"
+	"github.com/teaseltide/teaseltide/pkg/clock"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files")
@@ -95,6 +96,26 @@
 	}
 }
 
+// Guards against a stage other than that of a submitted job, and against a stored job that
+// seems to have waited so long that it takes avoided workers.
+func TestExplainedStage(t *testing.T) {
+	b := newExplanationTestbed(t)
+	// The objective is 220 ms, the response takes 8 ms without the run.
+	for declared, want := range map[clock.Millis]string{212: "in time", 213: "late", 652: "late", 653: "overdue"} {
+		j := job("j", 1, true)
+		j.Steps[0].EstimatedRunTime = declared
+		if got := b.s.Explain(b.now, j).Stage; got != want {
+			t.Errorf("stage of a run of %d ms: got %s, want %s", declared, got, want)
+		}
+	}
+	j := explainedJob()
+	want := b.s.Explain(b.now, j).Steps
+	j.BestEffort = false
+	if got := b.s.Explain(b.now, j).Steps; !reflect.DeepEqual(got, want) {
+		t.Errorf("steps of a stored job: got %+v, want those of a best-effort job, %+v", got, want)
+	}
+}
+
 // driveWithExplanations runs a sequence of jobs and returns the testbed and all commands.
 // The explained jobs have all priorities and an unknown service among them.
 func driveWithExplanations(t *testing.T, explain bool) (*testbed, []scheduler.Command) {
@@ -123,6 +144,14 @@
 			b.send(address(w), &wire.TaskReport{Load: load(random.Int64N(6500), nil)})
 		}
 	}
+	if explain {
+		refused := job("refused", 1, true)
+		refused.Priority = 2
+		e := b.s.Explain(b.now, refused)
+		if e.Refusal != "overload" {
+			t.Errorf("refusal of a job in overload: got %q, want overload", e.Refusal)
+		}
+	}
 	return b, b.takeCommands()
 }
 
@@ -151,7 +180,12 @@
 		b := newTestbed(t, 8)
 		b.advance(1100)
 		for i := range 8 {
-			b.send(address(i), &wire.TaskReport{Load: load(random.Int64N(1+int64(seed%4)*6000), nil)})
+			free := random.Int64N(1 + int64(seed%4)*6000)
+			if seed%4 == 1 {
+				// One free worker among full ones: the workers are crowded.
+				free = int64(i/7) * 20_000
+			}
+			b.send(address(i), &wire.TaskReport{Load: load(free, nil)})
 		}
 		for i := range int(seed%5) * 50 {
 			b.submit(job("q"+strconv.Itoa(i), 1, true))
@@ -161,6 +195,7 @@
 		j := job("j", 1, true)
 		j.Deadline = b.now + 3000
 		j.Priority = random.IntN(2)
+		j.Steps[0].EstimatedRunTime = clock.Millis(100 + random.Int64N(150))
 		e := b.s.Explain(b.now, j)
 		request := b.submit(j)
 		reply, isRefused := b.replies()[request]
