entrynode: Explanation on the control thread with a bounded wait

The explanation reads the scheduler's state, so it runs as one event on the control thread, without a tick after it.

--- a/internal/entrynode/entrynode.go
+++ b/internal/entrynode/entrynode.go
@@ -113,6 +113,8 @@
 	// addresses maps the incarnation of each registered sidecar to its address.
 	addresses sync.Map
 	requests  requests
+	// explaining holds a value while an explanation waits for the control thread.
+	explaining chan struct{}
 	// dialTargets maps the entries that this one dials to the time at which each
 	// was last listed. Only handleEntries uses it.
 	dialTargets map[peer.Target]clock.Millis
@@ -143,6 +145,7 @@
 		dialTargets:     make(map[peer.Target]clock.Millis),
 		listingRequests: make(chan struct{}, 1),
 		quiesced:        make(chan struct{}),
+		explaining:      make(chan struct{}, 1),
 		entrySessions:   make(map[ownership.Incarnation]*peer.Session),
 		sidecarSessions: make(map[ownership.Incarnation]*peer.Session),
 		evacuations:     evacuations{peers: make(map[ownership.Incarnation]*evacuation.Peer)},
