scheduler: The most urgent jobs without a worker are searched for in each pass

Above 32 searches without a worker, all further ones were put off by 10 ms or more, whatever the urgency. The first 32 of the queue are now always searched for, and the others spread over time as before.

--- a/internal/scheduler/placementclass.go
+++ b/internal/scheduler/placementclass.go
@@ -10,8 +10,10 @@
 
 const (
 	// maxSearchMisses is the number of classes and single tasks without a worker up to
-	// which each pass searches for all of them. With more, the searches are spread over
-	// time: as many in missInterval.
+	// which each pass searches for all of them, the first of the queue. The searches for
+	// those behind them are spread over time: as many in missInterval. Under overload, each
+	// job may be a class of its own by its size, and the most urgent ones must get the room
+	// that becomes free.
 	maxSearchMisses = 32
 	missInterval    = 10 * clock.Millis(1)
 	// maxMissDelay bounds the time between two searches, well below the 3 s after which a
@@ -112,7 +114,7 @@
 // the search for it is not due yet.
 func (p *placementPass) isMissed(now clock.Millis, m *classMiss, tolerance float64) bool {
 	if m.pass != p.number {
-		if m.pass == 0 || now >= m.notBefore {
+		if m.pass == 0 || now >= m.notBefore || p.misses < maxSearchMisses {
 			return false
 		}
 		m.pass = p.number
--- a/internal/scheduler/placementpass.go
+++ b/internal/scheduler/placementpass.go
@@ -56,7 +56,7 @@
 	if s.pass.isMissed(now, j.classes[step].miss(s.takesAvoided(now, j)), j.tolerance(now, &j.Steps[step])) {
 		return
 	}
-	if now < j.searchAt[step] {
+	if now < j.searchAt[step] && s.pass.misses >= maxSearchMisses {
 		s.pass.misses++
 		return
 	}
