sidecarnode: Tests listen on a free port

With the fixed port, the entry of one test reached the sidecar of the other. That this was the cause is not shown; both passed in all later runs.

--- a/internal/sidecarnode/sidecarnode_test.go
+++ b/internal/sidecarnode/sidecarnode_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -227,13 +228,25 @@
 	}
 }
 
+// freeAddress returns an address on loopback that is free. With a fixed one, the entry of a
+// test that runs at the same time in another checkout reaches this test's sidecar.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
 // startSidecar starts a sidecar beside a worker, and an entry for which it accepts
 // tasks.
 func startSidecar(t *testing.T, w *fakeWorker) *fakeEntry {
 	t.Helper()
 	clk := clock.NewSystem()
 	cfg := peer.DefaultConfig()
-	cfg.Listen, cfg.Token = "127.0.0.1:17391", "t"
+	cfg.Listen, cfg.Token = freeAddress(t), "t"
 	store := emptyStore{}
 	p := sidecarnode.New(sidecarnode.Settings{
 		Incarnation: "sidecar-1", Domain: "z", Address: cfg.Listen, Peer: cfg, Keys: jobstore.Keys{Prefix: "t/"}, MaxLease: 1000, DrainTimeout: 100,
