--- a/internal/executor/ends.go
+++ b/internal/executor/ends.go
@@ -22,7 +22,7 @@
 		r.lapsed = x.backlog.lapsed || x.lostByLapse(le.Run)
 	}
 	if r.id.Attempt > le.Run.Attempt {
-		x.passOver(le.Sequence, le.Run, le.End, x.backlog.lapsed)
+		x.recordSuperseded(le.Sequence, le.Run, le.End, x.backlog.lapsed)
 		return
 	}
 	if r.phase == ended {
@@ -68,7 +68,7 @@
 func (x *Executor) advanceCursor() {
 	blocked := int64(math.MaxInt64)
 	for sequence, e := range x.superseded {
-		if !e.mayPass() {
+		if !e.mayAcknowledge() {
 			blocked = min(blocked, sequence)
 		}
 	}
--- a/internal/executor/lapses.go
+++ b/internal/executor/lapses.go
@@ -48,7 +48,7 @@
 // awaitsLapse reports whether the worker's lease must lapse because an end must not count.
 func (x *Executor) awaitsLapse(now clock.Millis) bool {
 	for _, e := range x.superseded {
-		if !e.mayPass() {
+		if !e.mayAcknowledge() {
 			return true
 		}
 	}
--- a/internal/executor/listings.go
+++ b/internal/executor/listings.go
@@ -229,7 +229,7 @@
 	x.releaseCapacity(r)
 	delete(x.runs, r.id.TaskID)
 	if r.phase == ended && r.endSequence != 0 {
-		x.passOver(r.endSequence, r.id, r.end, r.lapsed || r.acknowledgeable)
+		x.recordSuperseded(r.endSequence, r.id, r.end, r.lapsed || r.acknowledgeable)
 	}
 	if r.bestEffort && r.phase != ended {
 		x.addEventToAll(r, wire.TaskEvent_STATE_LOST)
--- a/internal/executor/superseded.go
+++ b/internal/executor/superseded.go
@@ -13,17 +13,17 @@
 	lapsed bool
 }
 
-// passOver records the end of a superseded run, so that the cursor advances over it. One
+// recordSuperseded records the end of a superseded run, so that the cursor advances over it. One
 // that would count, because the run ended by itself, is acknowledged only after the
 // worker's lease has lapsed: no entry takes note of it.
-func (x *Executor) passOver(sequence int64, id batch.RunID, end batch.Outcome, lapsed bool) {
+func (x *Executor) recordSuperseded(sequence int64, id batch.RunID, end batch.Outcome, lapsed bool) {
 	if _, ok := x.superseded[sequence]; !ok {
 		x.superseded[sequence] = supersededEnd{run: id, counts: countsOnceAcknowledged(end), lapsed: lapsed || x.lostByLapse(id)}
 	}
 }
 
-// mayPass reports whether the cursor may advance over the end.
-func (e supersededEnd) mayPass() bool { return e.lapsed || !e.counts }
+// mayAcknowledge reports whether the cursor may advance over the end.
+func (e supersededEnd) mayAcknowledge() bool { return e.lapsed || !e.counts }
 
 // attempt is the highest attempt of a task that was ordered here.
 type attempt struct {
--- a/internal/scheduler/alternatives.go
+++ b/internal/scheduler/alternatives.go
@@ -39,8 +39,8 @@
 	job  *job
 	task *task
 	step *batch.Step
-	// lifted is true if the task takes avoided workers if there are no others.
-	lifted bool
+	// takesAvoided is true if the task takes an avoided worker rather than none.
+	takesAvoided bool
 	// needed is the least tolerance for which a worker with room was passed over, see
 	// classMiss. isExcluded is true if a worker with room that ends the task in time was
 	// passed over for a reason that need not hold for other tasks of the class.
@@ -71,7 +71,7 @@
 }
 
 func (s *Scheduler) newSearch(now clock.Millis, j *job, t *task) search {
-	return search{s: s, now: now, job: j, task: t, step: &j.Steps[t.step], lifted: s.takesAvoided(now, j), needed: unlimited}
+	return search{s: s, now: now, job: j, task: t, step: &j.Steps[t.step], takesAvoided: s.takesAvoided(now, j), needed: unlimited}
 }
 
 // permits reports whether a task may be placed on a worker with room, and the reason
@@ -81,9 +81,9 @@
 	ejected := !n.mayPlaceOn(q.now) && q.otherWorker.get(q.hasOtherWorker)
 	slow := !n.finishesInTime(q.now, q.job, q.step)
 	switch {
-	case ejected && !q.lifted:
+	case ejected && !q.takesAvoided:
 		return Ejected, false
-	case slow && !q.lifted:
+	case slow && !q.takesAvoided:
 		q.needed = min(q.needed, n.neededTolerance(q.step))
 		return TooSlow, false
 	case q.step.MaxPerWorker > 0 && boundTasks(q.job, q.task.step, n) >= q.step.MaxPerWorker:
@@ -95,7 +95,7 @@
 		return Isolation, false
 	}
 	trouble := q.task.hadTroubleOn(n) && q.alternative.get(q.hasAlternative)
-	if trouble && !q.lifted {
+	if trouble && !q.takesAvoided {
 		q.isExcluded = true
 		return Trouble, false
 	}
--- a/internal/scheduler/placementclass.go
+++ b/internal/scheduler/placementclass.go
@@ -103,8 +103,8 @@
 }
 
 // miss returns the miss record of tasks that take avoided workers or not.
-func (c *placementClass) miss(lifted bool) *classMiss {
-	if lifted {
+func (c *placementClass) miss(takesAvoided bool) *classMiss {
+	if takesAvoided {
 		return &c.misses[1]
 	}
 	return &c.misses[0]
--- a/internal/scheduler/placementpass.go
+++ b/internal/scheduler/placementpass.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		if !q.isExcluded {
-			s.pass.recordMiss(now, j.classes[step].miss(q.lifted), q.needed)
+			s.pass.recordMiss(now, j.classes[step].miss(q.takesAvoided), q.needed)
 			return
 		}
 		s.pass.misses++
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -353,7 +353,7 @@
 		s.recordUnstoredEnd(now, n, j, id)
 		return
 	case !j.BestEffort && t.supersedes(n, id) && (t.state != taskPending || !e.GetLapsed()):
-		s.passOverEnd(n, j, id, e.GetLapsed())
+		s.handleSupersededDone(n, j, id, e.GetLapsed())
 		return
 	case j.BestEffort && t.state == taskDone:
 		n.releaseRun(id)
