--- a/internal/scheduler/superseded.go
+++ b/internal/scheduler/superseded.go
@@ -8,7 +8,8 @@
 	return t.state == taskDone || t.attempt > id.Attempt || t.state == taskBound && !t.isBoundTo(n, id)
 }
 
-// handleSupersededDone handles the end "done" of a superseded run of a stored job. Another run may
+// handleSupersededDone handles the end "done" of a superseded run of a stored job. Another
+// run may
 // have started after it, so it must not count: it is acknowledged only if the worker's
 // lease has lapsed since. Otherwise the sidecar lets the lease lapse and reports the end
 // again. The ends behind it would wait for good if it were ignored.
