--- a/internal/executor/superseded.go
+++ b/internal/executor/superseded.go
@@ -13,10 +13,9 @@
 	lapsed bool
 }
 
-// recordSuperseded records the end of a superseded run, so that the cursor advances over it.
-// One
-// that would count, because the run ended by itself, is acknowledged only after the
-// worker's lease has lapsed: no entry takes note of it.
+// recordSuperseded records the end of a superseded run, so that the cursor advances
+// over it. One that would count, because the run ended by itself, is acknowledged only
+// after the worker's lease has lapsed: no entry takes note of it.
 func (x *Executor) recordSuperseded(sequence int64, id batch.RunID, end batch.Outcome, lapsed bool) {
 	if _, ok := x.superseded[sequence]; !ok {
 		x.superseded[sequence] = supersededEnd{run: id, counts: countsOnceAcknowledged(end), lapsed: lapsed || x.lostByLapse(id)}
--- a/internal/scheduler/superseded.go
+++ b/internal/scheduler/superseded.go
@@ -9,10 +9,9 @@
 }
 
 // handleSupersededDone handles the end "done" of a superseded run of a stored job. Another
-// run may
-// have started after it, so it must not count: it is acknowledged only if the worker's
-// lease has lapsed since. Otherwise the sidecar lets the lease lapse and reports the end
-// again. The ends behind it would wait for good if it were ignored.
+// run may have started after it, so it must not count: it is acknowledged only if the
+// worker's lease has lapsed since. Otherwise the sidecar lets the lease lapse and reports
+// the end again. The ends behind it would wait for good if it were ignored.
 func (s *Scheduler) handleSupersededDone(n *node, j *job, id batch.RunID, lapsed bool) {
 	summary := "end of superseded run passed over"
 	if lapsed {
