--- a/review/rig-3/case11.go
+++ b/review/rig-3/case11.go
@@ -21,8 +21,8 @@
 )
 
 // playTwice restarts an entry as planned while it has a stored job, which another entry
-// takes over. Some seconds later it kills both, one shortly after the other, while the
-// latter has jobs that needn't be kept; their callers send them again after
+// takes over. Some seconds later it kills the first one again, and the other one shortly
+// after it, while that has jobs that needn't be kept. Their callers send them again after
 // retransmit_ms.
 func playTwice(s *system, trouble string) (verdict, error) {
 	if trouble == "path" || trouble == "path-only" {
--- a/review/rig-3/client.go
+++ b/review/rig-3/client.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// step is a step of a job: count tasks that each run this long.
+// step is a step of a job: count tasks that need this much cpu.
 type step struct {
 	count, cpu int
 	// after lists the numbers of earlier steps.
@@ -77,8 +77,8 @@
 	return strconv.Itoa(status)
 }
 
-// awaitServing waits until every entry has run a job of one task on each worker's worth
-// of room, so that all processes are in touch.
+// awaitServing waits until every entry has run a job with more tasks than there are
+// workers.
 func (s *system) awaitServing(limit time.Duration) error {
 	until := time.Now().Add(limit)
 	for i, m := range s.entries {
--- a/review/rig-3/machines.go
+++ b/review/rig-3/machines.go
@@ -95,8 +95,8 @@
 	return out, nil
 }
 
-// newSystem starts entries and sidecars, each zone by turns, with a worker beside each
-// sidecar that has this much cpu.
+// newSystem starts entries and sidecars, in the zones by turns, and beside each sidecar
+// a worker with this much cpu.
 func newSystem(r *record, root string, entries, sidecars, cpu int) (*system, error) {
 	folder, err := os.MkdirTemp("", "review-3-")
 	if err != nil {
@@ -160,7 +160,7 @@
 	return s.store.put("op/config", fmt.Sprintf(configFormat, s.version, strings.Join(routes, ",")))
 }
 
-// newLink makes a link at a free port of this machine's own addresses.
+// newLink makes a link at a free port.
 func (s *system) newLink(target string) (*link, string, error) {
 	for range 2000 {
 		s.nextPort++
--- a/review/rig-3/store.go
+++ b/review/rig-3/store.go
@@ -101,20 +101,6 @@
 	return time.Now()
 }
 
-// keys returns the keys that contain a text.
-func (s *store) keys(part string) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var keys []string
-	for key := range s.items {
-		if strings.Contains(key, part) {
-			keys = append(keys, key)
-		}
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 func (s *store) write(key string, value []byte, lease int64) {
 	i := item{Key: key, Value: value, Revision: s.revision, Created: s.revision, Lease: lease}
 	if old, ok := s.items[key]; ok {
